Define the shard calls between entry processes

Cause: the scheduler and the entry application need the types of the calls that one entry process makes to the owner of a zone's shard. Conclusion: others can build on these names.

--- /dev/null
+++ b/chiveworks/membership/_job_registration.py
@@ -0,0 +1,19 @@
+"""Answer to a job submission."""
+
+from dataclasses import dataclass
+
+from chiveworks.membership._job_view import JobView
+
+
+@dataclass(frozen=True, slots=True)
+class JobRegistration:
+    """The job that now has the submitted key.
+
+    Attributes:
+        job: State of the job.
+        created: Whether this submission created it; False when it existed
+            with the same contents.
+    """
+
+    job: JobView
+    created: bool
--- /dev/null
+++ b/chiveworks/membership/_job_state.py
@@ -0,0 +1,16 @@
+"""State of a job."""
+
+from enum import Enum
+
+
+class JobState(str, Enum):
+    """State of a job as callers see it."""
+
+    ACCEPTED = 'accepted'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    UNSCHEDULABLE = 'unschedulable'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    HELD = 'held'
--- /dev/null
+++ b/chiveworks/membership/_shard_view.py
@@ -0,0 +1,33 @@
+"""A shard as shown to operators."""
+
+from dataclasses import dataclass
+
+from chiveworks.base import EntryId, Epoch, WorkerId, ZoneName
+from chiveworks.membership._job_view import JobView
+from chiveworks.membership._override_view import OverrideView
+from chiveworks.membership._task_count import TaskCount
+
+
+@dataclass(frozen=True, slots=True)
+class ShardView:
+    """State of one zone's shard.
+
+    Attributes:
+        zone: The zone.
+        owner: Entry process that schedules the shard.
+        epoch: The owner's fencing token.
+        task_counts: Tasks by state; states without tasks may be left out.
+        workers: Number of workers.
+        quarantined_workers: Workers that receive no starts for now.
+        overrides: Open manual overrides.
+        unknown_outcomes: Jobs in the state "outcome unknown".
+    """
+
+    zone: ZoneName
+    owner: EntryId
+    epoch: Epoch
+    task_counts: tuple[TaskCount, ...] = ()
+    workers: int = 0
+    quarantined_workers: tuple[WorkerId, ...] = ()
+    overrides: tuple[OverrideView, ...] = ()
+    unknown_outcomes: tuple[JobView, ...] = ()
