Add the store's stand-in and its HTTP adapter

Cause: unit tests and whole-process tests need the platform's store with its faults, and the product needs an adapter that reports exact verdicts.

--- /dev/null
+++ b/chiveworks/store/_http_store.py
@@ -0,0 +1,194 @@
+"""The platform's store over HTTP with msgpack bodies."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgpack
+from aiohttp import ClientSession
+from result import Err, Ok, Result
+
+from chiveworks.base import Failure, Revision, Step, StoreLeaseId
+from chiveworks.base._http_answer import HttpAnswer
+from chiveworks.base._http_caller import HttpCaller
+from chiveworks.store._conflict import StoreConflict
+from chiveworks.store._entry import StoreEntry
+from chiveworks.store._read import StoreRead
+from chiveworks.store._watch_batch import WatchBatch
+from chiveworks.store._watch_event import WatchEvent
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_MILLISECOND = timedelta(milliseconds=1)
+_BROKEN = (KeyError, TypeError, ValueError, msgpack.UnpackException)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpStore:
+    """Implements `Store`.
+
+    Attributes:
+        session: Session that the owner of the process closes.
+        base_url: URL of the store.
+        timeout: Limit of a call in all.
+        connect_timeout: Limit of the wait for a connection.
+        watch_margin: How far past its wait a watch may answer. With waits of 1.5 s a
+            silent connection is detected after 2 s.
+    """
+
+    session: ClientSession
+    base_url: str
+    timeout: timedelta = timedelta(seconds=2)
+    connect_timeout: timedelta = timedelta(milliseconds=500)
+    watch_margin: timedelta = timedelta(milliseconds=500)
+
+    async def fetch(self, key: str) -> Result[StoreRead, Failure]:
+        """Reads one key."""
+        return await self._read('/v1/kv', {'key': key})
+
+    async def list_prefix(self, prefix: str) -> Result[StoreRead, Failure]:
+        """Reads all keys under a prefix, ordered by key."""
+        return await self._read('/v1/range', {'prefix': prefix})
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        expected: Revision,
+        lease: StoreLeaseId | None = None,
+    ) -> Result[Revision, Failure | StoreConflict]:
+        """Writes a key if its revision is `expected`."""
+        query = {'key': key, 'expected': str(expected)}
+        if lease is not None:
+            query['lease'] = str(lease)
+        sent = await self._caller().call(
+            'PUT', '/v1/kv', Step.STORE_WRITE, query=query, body=value
+        )
+        return self._written(sent, key, expected)
+
+    async def delete(
+        self, key: str, expected: Revision
+    ) -> Result[Revision, Failure | StoreConflict]:
+        """Deletes a key if its revision is `expected`."""
+        query = {'key': key, 'expected': str(expected)}
+        sent = await self._caller().call(
+            'DELETE', '/v1/kv', Step.STORE_WRITE, query=query
+        )
+        return self._written(sent, key, expected)
+
+    async def grant_lease(self, ttl: timedelta) -> Result[StoreLeaseId, Failure]:
+        """Creates a lease."""
+        query = {'ttl_ms': str(ttl // _MILLISECOND)}
+        caller = self._caller()
+        sent = await caller.call('POST', '/v1/leases', Step.STORE_WRITE, query=query)
+        if isinstance(sent, Err):
+            return sent
+        try:
+            return Ok(StoreLeaseId(int(msgpack.unpackb(sent.ok_value.body)['lease'])))
+        except _BROKEN:
+            return Err(
+                caller.unexpected(sent.ok_value, Step.STORE_WRITE, writes=True),
+            )
+
+    async def renew_lease(self, lease: StoreLeaseId) -> Result[bool, Failure]:
+        """Extends a lease; False when it has expired."""
+        return await self._change_lease('POST', f'/v1/leases/{lease}/renew')
+
+    async def revoke_lease(self, lease: StoreLeaseId) -> Result[bool, Failure]:
+        """Ends a lease and deletes its keys."""
+        return await self._change_lease('DELETE', f'/v1/leases/{lease}')
+
+    async def watch(
+        self, prefix: str, after: Revision, wait: timedelta
+    ) -> Result[WatchBatch, Failure]:
+        """Waits up to `wait` for changes under `prefix` past `after`."""
+        query = {
+            'prefix': prefix,
+            'after': str(after),
+            'wait_ms': str(wait // _MILLISECOND),
+        }
+        caller = self._caller()
+        sent = await caller.call(
+            'GET',
+            '/v1/watch',
+            Step.STORE_READ,
+            query=query,
+            timeout=wait + self.watch_margin,
+            writes=False,
+        )
+        if isinstance(sent, Err):
+            return sent
+        try:
+            return Ok(_decode_batch(sent.ok_value, after))
+        except _BROKEN:
+            return Err(
+                caller.unexpected(sent.ok_value, Step.STORE_READ, writes=False),
+            )
+
+    def _caller(self) -> HttpCaller:
+        return HttpCaller(
+            self.session, self.base_url, self.timeout, self.connect_timeout
+        )
+
+    async def _read(
+        self, path: str, query: dict[str, str]
+    ) -> Result[StoreRead, Failure]:
+        caller = self._caller()
+        sent = await caller.call(
+            'GET', path, Step.STORE_READ, query=query, writes=False
+        )
+        if isinstance(sent, Err):
+            return sent
+        try:
+            return Ok(_decode_read(sent.ok_value))
+        except _BROKEN:
+            return Err(
+                caller.unexpected(sent.ok_value, Step.STORE_READ, writes=False),
+            )
+
+    async def _change_lease(self, method: str, path: str) -> Result[bool, Failure]:
+        caller = self._caller()
+        sent = await caller.call(method, path, Step.STORE_WRITE)
+        if isinstance(sent, Err):
+            return sent
+        if sent.ok_value.status in {_OK, _NOT_FOUND}:
+            return Ok(sent.ok_value.status == _OK)
+        return Err(caller.unexpected(sent.ok_value, Step.STORE_WRITE, writes=True))
+
+    def _written(
+        self, sent: Result[HttpAnswer, Failure], key: str, expected: Revision
+    ) -> Result[Revision, Failure | StoreConflict]:
+        if isinstance(sent, Err):
+            return sent
+        answer = sent.ok_value
+        try:
+            fields = msgpack.unpackb(answer.body)
+            if answer.status == _OK:
+                return Ok(Revision(int(fields['revision'])))
+            if answer.status == _CONFLICT:
+                found = Revision(int(fields['mod_revision']))
+                return Err(StoreConflict(key, expected, found))
+        except _BROKEN:
+            failure = self._caller().unexpected(answer, Step.STORE_WRITE, writes=True)
+            return Err(failure)
+        message = f'the store refused the write with status {answer.status}'
+        return Err(Failure.not_run(Step.STORE_WRITE, self.base_url, message))
+
+
+def _decode_read(answer: HttpAnswer) -> StoreRead:
+    if answer.status != _OK:
+        raise ValueError(answer.status)
+    fields = msgpack.unpackb(answer.body)
+    entries = tuple(StoreEntry(**entry) for entry in fields['entries'])
+    return StoreRead(Revision(fields['revision']), entries)
+
+
+def _decode_batch(answer: HttpAnswer, after: Revision) -> WatchBatch:
+    if answer.status == _GONE:
+        return WatchBatch(after, (), compacted=True)
+    if answer.status != _OK:
+        raise ValueError(answer.status)
+    fields = msgpack.unpackb(answer.body)
+    events = tuple(WatchEvent(**event) for event in fields['events'])
+    return WatchBatch(Revision(fields['revision']), events)
--- /dev/null
+++ b/standins/store/_rate_limit.py
@@ -0,0 +1,26 @@
+"""Limit on the calls a second."""
+
+from datetime import timedelta
+
+from chiveworks.base import Clock
+
+_WINDOW = timedelta(seconds=1)
+
+
+class RateLimit:
+    """Admits at most `per_s` calls in each window of one second."""
+
+    def __init__(self, clock: Clock, per_s: int) -> None:
+        self._clock = clock
+        self._per_s = per_s
+        self._window_start = clock.monotonic()
+        self._used = 0
+
+    def admit(self) -> bool:
+        """Counts a call; False when the window's calls are used up."""
+        now = self._clock.monotonic()
+        if now - self._window_start >= _WINDOW:
+            self._window_start = now
+            self._used = 0
+        self._used += 1
+        return self._used <= self._per_s
