--- /dev/null
+++ b/chiveworks/catalogue/_entry.py
@@ -0,0 +1,79 @@
+"""An entry of the operators' catalogue."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from chiveworks.base import EntryName, Resources, ServiceClass, TenantName
+from chiveworks.catalogue._priority import Priority
+
+#: Names become parts of store keys and URL paths.
+_NAME_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
+
+_Count = Annotated[int, Field(ge=0)]
+_AboveZero = Annotated[int, Field(gt=0)]
+
+
+class CatalogueEntry(BaseModel):
+    """A service or a kind of batch work, its owner and its limits.
+
+    A limit of 0 means "no limit" for `rate_per_s`, `concurrency`,
+    `response_target_ms` and `quota_cpu_millicores`.
+
+    Attributes:
+        name: Unique name; for a service also its name in request paths.
+        owner: Team or person to ask.
+        tenant: Customer on whose behalf the work runs.
+        service_class: Service with response targets, or batch work.
+        idempotent: Running it twice has the effect of running it once.
+        can_checkpoint: Evicted work resumes from its last checkpoint.
+        kind: Program that workers start; the entry's name when empty.
+        cpu_millicores: Processor time per task, in thousandths of a core.
+        memory_bytes: Memory per task.
+        accelerators: Accelerators per task.
+        slots: Requests that one endpoint serves at a time.
+        connections: Connections that one endpoint accepts.
+        rate_per_s: Requests a second admitted for the tenant.
+        concurrency: Requests in progress admitted for the tenant.
+        deadline_ms: Time a request may take when the caller names none.
+        retry_limit: Retries after a failure that workers report.
+        response_target_ms: Target of the 99th percentile of response times.
+        priority: Urgent work is placed before normal work.
+        quota_cpu_millicores: Most processor time that all its tasks may hold.
+    """
+
+    model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
+
+    name: Annotated[EntryName, Field(pattern=_NAME_PATTERN)]
+    owner: Annotated[str, Field(min_length=1)]
+    tenant: Annotated[TenantName, Field(pattern=_NAME_PATTERN)]
+    service_class: ServiceClass
+    idempotent: bool = False
+    can_checkpoint: bool = False
+    kind: str = ''
+    cpu_millicores: _AboveZero = 1000
+    memory_bytes: _AboveZero = 1 << 30
+    accelerators: _Count = 0
+    slots: _AboveZero = 8
+    connections: _AboveZero = 64
+    rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0
+    concurrency: _Count = 0
+    deadline_ms: _AboveZero = 30_000
+    retry_limit: _Count = 3
+    response_target_ms: _Count = 0
+    priority: Priority = Priority.NORMAL
+    quota_cpu_millicores: _Count = 0
+
+    @property
+    def resources(self) -> Resources:
+        """Resources that one task of the entry occupies."""
+        return Resources(self.cpu_millicores, self.memory_bytes, self.accelerators)
+
+    @model_validator(mode='after')
+    def _check_quota(self) -> 'CatalogueEntry':
+        if 0 < self.quota_cpu_millicores < self.cpu_millicores:
+            raise ValueError(
+                f'quota_cpu_millicores {self.quota_cpu_millicores} is below the '
+                f'{self.cpu_millicores} of one task, so no task could ever run'
+            )
+        return self
