Add the catalogue editor

Cause: operators change entries and zone switches from any entry process at once. Change: CatalogueEditor writes by compare-and-swap, keeps the last 20 versions in the value, and returns EditConflict with both revisions and a diff. After a lost answer it looks for its nonce in the value and its history, and repeats the same write if the key has not moved; the outcome is unknown only when reading fails. Conclusion: an edit's outcome is known whenever the store can be read.

--- a/chiveworks/catalogue/__init__.py
+++ b/chiveworks/catalogue/__init__.py
@@ -1,6 +1,9 @@
 """Operators' catalogue: entries, zone switches, replica and editor."""
 
+from chiveworks.catalogue._edit_conflict import EditConflict
+from chiveworks.catalogue._editor import CatalogueEditor
 from chiveworks.catalogue._entry import CatalogueEntry
+from chiveworks.catalogue._field_change import FieldChange, diff_documents
 from chiveworks.catalogue._item import ConfigItem
 from chiveworks.catalogue._keys import CONFIG_PREFIX, entry_key, zone_key
 from chiveworks.catalogue._priority import Priority
@@ -11,14 +14,18 @@
 
 __all__ = (
     'CONFIG_PREFIX',
+    'CatalogueEditor',
     'CatalogueEntry',
     'CatalogueReplica',
     'ConfigItem',
+    'EditConflict',
+    'FieldChange',
     'Priority',
     'StoredValue',
     'StoredVersion',
     'ZoneState',
     'ZoneSwitch',
+    'diff_documents',
     'entry_key',
     'zone_key',
 )
--- a/chiveworks/catalogue/_entry.py
+++ b/chiveworks/catalogue/_entry.py
@@ -45,12 +45,12 @@
     model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
 
     name: Annotated[EntryName, Field(pattern=_NAME_PATTERN)]
-    owner: Annotated[str, Field(min_length=1)]
+    owner: Annotated[str, Field(min_length=1, max_length=200)]
     tenant: Annotated[TenantName, Field(pattern=_NAME_PATTERN)]
     service_class: ServiceClass
     idempotent: bool = False
     can_checkpoint: bool = False
-    kind: str = ''
+    kind: Annotated[str, Field(max_length=200)] = ''
     cpu_millicores: _AboveZero = 1000
     memory_bytes: _AboveZero = 1 << 30
     accelerators: _Count = 0
--- a/chiveworks/catalogue/_stored.py
+++ b/chiveworks/catalogue/_stored.py
@@ -1,12 +1,16 @@
 """Format of the values under `config/`."""
 
 from datetime import datetime
-from typing import Generic, TypeVar
+from typing import Final, Generic, TypeVar
 
 from pydantic import BaseModel, ConfigDict
 
 from chiveworks.base import Revision
 
+#: Versions kept in a value, the current one included. Twenty entries of under
+#: 2 KB each stay far below the store's limit of 1 MB.
+KEPT_VERSIONS: Final = 20
+
 _Document = TypeVar('_Document', bound=BaseModel)
 
 
@@ -16,6 +20,7 @@
     model_config = ConfigDict(frozen=True)
 
     revision: Revision
+    nonce: str
     author: str
     at: datetime
     document: _Document | None
@@ -43,3 +48,17 @@
     at: datetime
     document: _Document | None
     history: tuple[StoredVersion[_Document], ...] = ()
+
+    def as_version(self, revision: Revision) -> StoredVersion[_Document]:
+        """Returns this value as the version that was written at `revision`."""
+        return StoredVersion(
+            revision=revision,
+            nonce=self.nonce,
+            author=self.author,
+            at=self.at,
+            document=self.document,
+        )
+
+    def versions(self, revision: Revision) -> tuple[StoredVersion[_Document], ...]:
+        """Returns all kept versions, latest first, given the key's revision."""
+        return (self.as_version(revision), *self.history)[:KEPT_VERSIONS]
