--- a/chiveworks/catalogue/_entry.py
+++ b/chiveworks/catalogue/_entry.py
@@ -3,6 +3,7 @@
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
 
 from chiveworks.base import EntryName, Resources, ServiceClass, TenantName
 from chiveworks.catalogue._priority import Priority
@@ -72,8 +73,13 @@
     @model_validator(mode='after')
     def _check_quota(self) -> 'CatalogueEntry':
         if 0 < self.quota_cpu_millicores < self.cpu_millicores:
-            raise ValueError(
-                f'quota_cpu_millicores {self.quota_cpu_millicores} is below the '
-                f'{self.cpu_millicores} of one task, so no task could ever run'
+            raise PydanticCustomError(
+                'impossible',
+                'expected 0 or at least the {task} millicores of one task, got {quota}',
+                {
+                    'field': 'quota_cpu_millicores',
+                    'task': self.cpu_millicores,
+                    'quota': self.quota_cpu_millicores,
+                },
             )
         return self
--- /dev/null
+++ b/chiveworks/settings/_placement.py
@@ -0,0 +1,35 @@
+"""Settings of task placement."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
+
+_Weight = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
+class PlacementWeights(BaseModel):
+    """What placement favours; only the proportions matter."""
+
+    model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
+
+    tail_latency: _Weight = 1
+    batch_throughput: _Weight = 1
+    zone_work: _Weight = 1
+
+    @model_validator(mode='after')
+    def _check_sum(self) -> 'PlacementWeights':
+        if not self.tail_latency + self.batch_throughput + self.zone_work:
+            raise PydanticCustomError(
+                'impossible', 'expected at least one weight above 0'
+            )
+        return self
+
+
+class PlacementSettings(BaseModel):
+    """How a worker is chosen for a task."""
+
+    model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
+
+    policy: Literal['interference_aware', 'first_fit'] = 'interference_aware'
+    weights: PlacementWeights = PlacementWeights()
--- /dev/null
+++ b/chiveworks/settings/_routing.py
@@ -0,0 +1,13 @@
+"""Settings of request routing."""
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict
+
+
+class RoutingSettings(BaseModel):
+    """How an endpoint is chosen for a request."""
+
+    model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
+
+    policy: Literal['two_choices', 'round_robin'] = 'two_choices'
--- /dev/null
+++ b/chiveworks/settings/_settings.py
@@ -0,0 +1,97 @@
+"""Settings of an entry process."""
+
+from collections.abc import Mapping
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
+
+from chiveworks.base import EntryId, ZoneName
+from chiveworks.settings._address import ListenAddress
+from chiveworks.settings._limits import Limits
+from chiveworks.settings._placement import PlacementSettings
+from chiveworks.settings._retry import RetrySettings
+from chiveworks.settings._routing import RoutingSettings
+from chiveworks.settings._zone_latency import ZoneLatency
+
+#: A name is a part of store keys.
+_NAME_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
+_URL_PATTERN = r'^https?://[^/\s]+'
+
+_Url = Annotated[str, Field(pattern=_URL_PATTERN)]
+_Milliseconds = Annotated[int, Field(gt=0)]
+
+
+class Settings(BaseModel):
+    """Settings of an entry process; `docs/settings.md` explains each."""
+
+    model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
+
+    entry_id: Annotated[EntryId, Field(pattern=_NAME_PATTERN)]
+    zone: Annotated[ZoneName, Field(pattern=_NAME_PATTERN)]
+    listen: ListenAddress
+    peer: ListenAddress
+    store_url: _Url
+    instances_url: _Url
+    zones: tuple[ZoneLatency, ...] = ()
+    register_instance: bool = True
+    worker_lease_ms: _Milliseconds = 15_000
+    worker_renew_ms: _Milliseconds = 4000
+    idle_worker_renew_ms: _Milliseconds = 8000
+    shard_lease_ms: _Milliseconds = 9000
+    shard_renew_ms: _Milliseconds = 3000
+    commit_tick_ms: _Milliseconds = 250
+    store_outage_tolerance_ms: _Milliseconds = 900_000
+    # A start may take effect this long after its zone was read as in service;
+    # no task may start 3 s after its zone was taken out.
+    ticket_max_age_ms: Annotated[int, Field(gt=0, lt=3000)] = 2000
+    drain_grace_ms: Annotated[int, Field(ge=0)] = 5000
+    store_timeout_ms: _Milliseconds = 2000
+    routing: RoutingSettings = RoutingSettings()
+    placement: PlacementSettings = PlacementSettings()
+    limits: Limits = Limits()
+    retry: RetrySettings = RetrySettings()
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+    @property
+    def zone_latencies_ms(self) -> Mapping[ZoneName, float]:
+        """Round trip to every zone; just this zone when none is listed."""
+        return {zone.name: zone.latency_ms for zone in self.zones} or {self.zone: 0}
+
+    @model_validator(mode='after')
+    def _check_zones(self) -> 'Settings':
+        names = [zone.name for zone in self.zones]
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                raise _impossible(f'zones.{index}.name', f'{name} is listed twice')
+        if names and self.zone not in names:
+            raise _impossible('zones', f"this process's zone {self.zone} is not listed")
+        return self
+
+    @model_validator(mode='after')
+    def _check_times(self) -> 'Settings':
+        worker, shard = self.worker_lease_ms, self.shard_lease_ms
+        self._check_below('worker_renew_ms', 'worker_lease_ms', worker)
+        self._check_below('idle_worker_renew_ms', 'worker_lease_ms', worker)
+        self._check_below('shard_renew_ms', 'shard_lease_ms', shard)
+        self._check_below('commit_tick_ms', 'ticket_max_age_ms', self.ticket_max_age_ms)
+        # One renewal that times out must not cost the shard.
+        self._check_below(
+            'store_timeout_ms',
+            'shard_lease_ms - shard_renew_ms',
+            shard - self.shard_renew_ms,
+        )
+        return self
+
+    def _check_below(self, field: str, bound: str, bound_ms: int) -> None:
+        found_ms: int = getattr(self, field)
+        if found_ms >= bound_ms:
+            raise _impossible(
+                field, f'expected less than {bound} ({bound_ms} ms), got {found_ms} ms'
+            )
+
+
+def _impossible(field: str, message: str) -> PydanticCustomError:
+    return PydanticCustomError(
+        'impossible', '{text}', {'field': field, 'text': message}
+    )
