--- a/chiveworks/catalogue/_entry.py
+++ b/chiveworks/catalogue/_entry.py
@@ -3,6 +3,7 @@
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
 
 from chiveworks.base import EntryName, Resources, ServiceClass, TenantName
 from chiveworks.catalogue._priority import Priority
@@ -45,12 +46,12 @@
     model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
 
     name: Annotated[EntryName, Field(pattern=_NAME_PATTERN)]
-    owner: Annotated[str, Field(min_length=1)]
+    owner: Annotated[str, Field(min_length=1, max_length=200)]
     tenant: Annotated[TenantName, Field(pattern=_NAME_PATTERN)]
     service_class: ServiceClass
     idempotent: bool = False
     can_checkpoint: bool = False
-    kind: str = ''
+    kind: Annotated[str, Field(max_length=200)] = ''
     cpu_millicores: _AboveZero = 1000
     memory_bytes: _AboveZero = 1 << 30
     accelerators: _Count = 0
@@ -72,8 +73,13 @@
     @model_validator(mode='after')
     def _check_quota(self) -> 'CatalogueEntry':
         if 0 < self.quota_cpu_millicores < self.cpu_millicores:
-            raise ValueError(
-                f'quota_cpu_millicores {self.quota_cpu_millicores} is below the '
-                f'{self.cpu_millicores} of one task, so no task could ever run'
+            raise PydanticCustomError(
+                'impossible',
+                'expected 0 or at least the {task} millicores of one task, got {quota}',
+                {
+                    'field': 'quota_cpu_millicores',
+                    'task': self.cpu_millicores,
+                    'quota': self.quota_cpu_millicores,
+                },
             )
         return self
