--- /dev/null
+++ b/chiveworks/jobs/_job_store.py
@@ -0,0 +1,68 @@
+"""Job records in the platform's store."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Failure, JobId, Revision, TenantName
+from chiveworks.jobs._job_record import JobRecord
+from chiveworks.store import Store, StoreConflict
+
+_PREFIX = 'jobs/'
+
+
+@dataclass(frozen=True, slots=True)
+class StoredJob:
+    """A job record and its revision in the store."""
+
+    job: JobRecord
+    revision: Revision
+
+
+class JobStore:
+    """Reads and writes job records; settles writes whose answer was lost."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def fetch(self, job_id: JobId) -> Result[StoredJob | None, Failure]:
+        """Reads a job; None when no such job was ever registered."""
+        read = await self._store.fetch(f'{_PREFIX}{job_id}')
+        if isinstance(read, Err):
+            return read
+        entry = read.ok_value.first()
+        if entry is None:
+            return Ok(None)
+        return Ok(StoredJob(JobRecord.decode(entry.value), entry.mod_revision))
+
+    async def list_tenant(
+        self, tenant: TenantName
+    ) -> Result[tuple[JobRecord, ...], Failure]:
+        """Reads all jobs of a tenant."""
+        read = await self._store.list_prefix(f'{_PREFIX}{tenant}.')
+        return read.map(
+            lambda found: tuple(JobRecord.decode(one.value) for one in found.entries)
+        )
+
+    async def write(
+        self, job: JobRecord, expected: Revision
+    ) -> Result[Revision, Failure | StoreConflict]:
+        """Writes a job if its record is at `expected` (0: absent).
+
+        Returns:
+            The new revision. A lost answer is settled by reading the record back
+            and comparing its contents; the failure stays "outcome unknown" when
+            the store does not answer that read either.
+        """
+        key = f'{_PREFIX}{job.job_id}'
+        stored = job.encode()
+        written = await self._store.compare_and_swap(key, stored, expected)
+        if isinstance(written, Ok) or isinstance(written.err_value, StoreConflict):
+            return written
+        read = await self._store.fetch(key)
+        if isinstance(read, Err):
+            return written
+        entry = read.ok_value.first()
+        if entry is not None and entry.value == stored:
+            return Ok(entry.mod_revision)
+        return written
--- /dev/null
+++ b/chiveworks/jobs/_task_record.py
@@ -0,0 +1,67 @@
+"""State of one task."""
+
+from dataclasses import dataclass
+
+from chiveworks.base import Attempt, BootId, Resources, TaskId, WorkerId
+from chiveworks.membership import TaskState, TaskView
+
+#: States in which an attempt may be running somewhere and holds capacity.
+ACTIVE_STATES = frozenset(
+    (TaskState.CLAIMED, TaskState.RUNNING, TaskState.STOPPING),
+)
+#: States that a task never leaves.
+FINAL_STATES = frozenset(
+    (
+        TaskState.FINISHED,
+        TaskState.FAILED,
+        TaskState.CANCELLED,
+        TaskState.OUTCOME_UNKNOWN,
+    ),
+)
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """A task as the shard owner knows it.
+
+    Attributes:
+        task_id: The task.
+        payload: Argument of its program.
+        state: Its state.
+        attempt: Number of its current or last run, 0 before the first.
+        worker: Worker of that run.
+        boot_id: Boot of the worker for which the run was claimed.
+        reserved: Resources held on the worker while the task is active.
+        checkpoint: Last recorded checkpoint.
+        result: Its result once it has finished.
+        failures: Runs that ended with a failure.
+        reason: Why it is in its state, where that needs saying.
+    """
+
+    task_id: TaskId
+    payload: str
+    state: TaskState = TaskState.QUEUED
+    attempt: Attempt = Attempt(0)
+    worker: WorkerId = WorkerId('')
+    boot_id: BootId = BootId('')
+    reserved: Resources = Resources()
+    checkpoint: str = ''
+    result: str = ''
+    failures: int = 0
+    reason: str = ''
+
+    @property
+    def is_active(self) -> bool:
+        """Whether an attempt may be running and holds capacity."""
+        return self.state in ACTIVE_STATES
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the task will not run again."""
+        return self.state in FINAL_STATES
+
+    def view(self) -> TaskView:
+        """Returns the task as shown to callers."""
+        return TaskView(
+            self.task_id, self.state, self.attempt, self.worker, self.result
+        )
--- /dev/null
+++ b/chiveworks/scheduler/_attempt_end.py
@@ -0,0 +1,78 @@
+"""What follows from the way an attempt ended (table in docs/design.md, section 3)."""
+
+from chiveworks.base import TaskId
+from chiveworks.jobs import JobRecord, TaskEnded, TaskRecord
+from chiveworks.membership import TaskState
+from chiveworks.workers import ReportedState, StopCause, TaskReport
+
+
+def never_started(job: JobRecord, task: TaskRecord) -> TaskEnded:
+    """Returns the end of an attempt that certainly did not start."""
+    state = TaskState.CANCELLED if job.cancelled else TaskState.QUEUED
+    return _end(task, state, checkpoint=task.checkpoint)
+
+
+def lost(job: JobRecord, task: TaskRecord, reason: str) -> TaskEnded:
+    """Returns the end of an attempt whose worker is gone and its lease lapsed."""
+    if not job.spec.resumable:
+        return _end(task, TaskState.OUTCOME_UNKNOWN, reason=reason)
+    state = TaskState.CANCELLED if job.cancelled else TaskState.QUEUED
+    return _end(task, state, checkpoint=task.checkpoint, reason=reason)
+
+
+def reported(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
+    """Returns the end of an attempt that the worker reported."""
+    if report.state is ReportedState.FINISHED:
+        return _end(task, TaskState.FINISHED, result=report.result)
+    if report.state is ReportedState.FAILED:
+        return _failed(job, task, report)
+    return _stopped(job, task, report)
+
+
+def _failed(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
+    failures = task.failures + 1
+    retry = job.spec.idempotent and failures <= job.spec.retry_limit
+    state = TaskState.FAILED
+    if retry:
+        state = TaskState.CANCELLED if job.cancelled else TaskState.QUEUED
+    reason = report.result or 'the task failed'
+    return _end(
+        task, state, checkpoint=task.checkpoint, failures=failures, reason=reason
+    )
+
+
+def _stopped(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
+    checkpoint = report.checkpoint or task.checkpoint
+    if job.cancelled:
+        return _end(task, TaskState.CANCELLED, checkpoint=checkpoint)
+    if report.cause is StopCause.MANUAL:
+        return _end(
+            task, TaskState.HELD, checkpoint=checkpoint, reason='stopped by hand'
+        )
+    if job.spec.resumable:
+        return _end(task, TaskState.QUEUED, checkpoint=checkpoint)
+    return _end(
+        task,
+        TaskState.OUTCOME_UNKNOWN,
+        reason=f'stopped ({report.cause.value or "no cause given"}) before its end',
+    )
+
+
+def _end(
+    task: TaskRecord,
+    state: TaskState,
+    *,
+    result: str = '',
+    checkpoint: str = '',
+    failures: int | None = None,
+    reason: str = '',
+) -> TaskEnded:
+    return TaskEnded(
+        TaskId(task.task_id),
+        task.attempt,
+        state,
+        result,
+        checkpoint,
+        task.failures if failures is None else failures,
+        reason,
+    )
--- /dev/null
+++ b/chiveworks/scheduler/_fleet.py
@@ -0,0 +1,91 @@
+"""The workers of one shard as placement sees them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+from numpy.random import Generator
+
+from chiveworks.base import Resources, WorkerId
+from chiveworks.catalogue import CatalogueReplica
+from chiveworks.instances import Instance, InstanceState
+from chiveworks.jobs import TaskTable
+from chiveworks.membership import OverrideKind
+from chiveworks.placement import Candidate, CandidateIndex, Quarantine
+from chiveworks.scheduler._worker_session import WorkerSession
+
+_NOTHING = Resources()
+
+
+class Fleet:
+    """Works out what each worker has free; builds candidates for a round."""
+
+    def __init__(
+        self,
+        table: TaskTable,
+        replica: CatalogueReplica,
+        quarantine: Quarantine,
+        random: Generator,
+        load_of: Callable[[WorkerId], float],
+    ) -> None:
+        self._table = table
+        self._replica = replica
+        self._quarantine = quarantine
+        self._random = random
+        self._load_of = load_of
+
+    def candidates(self, sessions: Mapping[WorkerId, WorkerSession]) -> CandidateIndex:
+        """Returns the workers that may receive starts now."""
+        index = CandidateIndex(self._random)
+        for session in sessions.values():
+            is_live = session.instance.state is InstanceState.LIVE
+            if is_live and session.is_leased and not session.has_pending_starts:
+                index.put(self._candidate(session.instance))
+        return index
+
+    def free_on(self, instance: Instance) -> Resources:
+        """Returns what no service, claim or unclaimed task holds on a worker."""
+        worker = WorkerId(instance.instance_id)
+        held = self._table.reserved_on(worker) + self._unclaimed_on(worker)
+        return instance.capacity - self._held_by_services(instance) - held
+
+    def fits_empty(self, demand: Resources, instances: Iterable[Instance]) -> bool:
+        """Tells whether some worker could hold `demand` if no task ran there."""
+        return any(
+            demand.fits_in(instance.capacity - self._held_by_services(instance))
+            for instance in instances
+        )
+
+    def _candidate(self, instance: Instance) -> Candidate:
+        worker = WorkerId(instance.instance_id)
+        kinds = Counter(
+            self._table.job_of(task.task_id).spec.kind
+            for task in self._table.active_on(worker)
+        )
+        services = frozenset(str(name) for name in instance.services)
+        kinds.update(services)
+        return Candidate(
+            worker_id=worker,
+            rack=instance.rack,
+            capacity=instance.capacity,
+            free=self.free_on(instance),
+            kinds=dict(kinds),
+            service_kinds=services,
+            load=self._load_of(worker),
+            suspicion=self._quarantine.suspicion(worker),
+            quarantined=not self._quarantine.allows(worker),
+        )
+
+    def _held_by_services(self, instance: Instance) -> Resources:
+        held = _NOTHING
+        for name in instance.services:
+            entry = self._replica.entry(name)
+            if entry is not None:
+                held += entry.resources
+        return held
+
+    def _unclaimed_on(self, worker: WorkerId) -> Resources:
+        held = _NOTHING
+        for override in self._table.overrides.values():
+            if override.kind is OverrideKind.UNCLAIMED and override.worker == worker:
+                held += override.allotted
+        return held
--- /dev/null
+++ b/chiveworks/scheduler/_job_registrar.py
@@ -0,0 +1,258 @@
+"""Registration, cancellation and take-over of jobs by a shard owner."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from numpy.random import Generator
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, JobId, Revision, Step, Verdict
+from chiveworks.catalogue import CatalogueEntry, CatalogueReplica, Priority
+from chiveworks.jobs import (
+    JobAccepted,
+    JobCancelled,
+    JobDropped,
+    JobRecord,
+    JobStore,
+    StoredJob,
+    TaskRecord,
+    TaskSpec,
+    TaskTable,
+    content_digest_of,
+    job_id_of,
+    task_id_of,
+)
+from chiveworks.membership import (
+    FailureReason,
+    JobRegistration,
+    JobSubmission,
+    JobTransfer,
+    JobView,
+    ShardFailure,
+)
+from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._shard_lost_error import ShardLostError
+from chiveworks.scheduler._tenure import Tenure
+from chiveworks.store import StoreConflict
+
+_LOG = logging.getLogger(__name__)
+_ABSENT = Revision(0)
+_NONCE_BYTES = 12
+
+
+class JobRegistrar:
+    """Puts jobs into the shard: the job record first, then the journal.
+
+    A job is answered for only when both are durable. A record without a journal
+    entry belongs to a submission that was never answered; the same key submitted
+    again completes it.
+    """
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        table: TaskTable,
+        ledger: Ledger,
+        job_store: JobStore,
+        replica: CatalogueReplica,
+        clock: Clock,
+        random: Generator,
+        on_cancel: Callable[[JobRecord], None],
+    ) -> None:
+        self._tenure = tenure
+        self._table = table
+        self._ledger = ledger
+        self._job_store = job_store
+        self._replica = replica
+        self._clock = clock
+        self._random = random
+        self._on_cancel = on_cancel
+
+    async def register(
+        self, submission: JobSubmission
+    ) -> Result[JobRegistration, Failure]:
+        """Registers a job or finds the one that has its key."""
+        job_id = job_id_of(submission)
+        if job_id in self._table.jobs:
+            return await self._found(submission, self._table.jobs[job_id])
+        entry = self._replica.entry(submission.entry)
+        if entry is None:
+            return Err(self._unknown_entry(submission))
+        job = self._new_job(submission, entry)
+        written = await self._job_store.write(job, _ABSENT)
+        if isinstance(written, Ok):
+            return await self._accept(job, created=True)
+        if isinstance(written.err_value, StoreConflict):
+            return await self._adopt_existing(submission)
+        return Err(self._store_failure(written.err_value))
+
+    async def cancel(self, job_id: JobId) -> Result[JobView, Failure]:
+        """Cancels a job; waiting tasks are cancelled once this answers."""
+        job = self._table.jobs.get(job_id)
+        if job is None:
+            return Err(self._unknown_job(job_id))
+        if not job.cancelled and not job.is_final:
+            durable = self._ledger.commit(JobCancelled(job_id))
+            self._on_cancel(job)
+            lost = await self._wait(durable)
+            if lost is not None:
+                return Err(lost)
+        return Ok(job.view())
+
+    async def transfer(self, transfer: JobTransfer) -> Result[JobView, Failure]:
+        """Takes over a job whose record names this zone as home."""
+        fetched = await self._job_store.fetch(transfer.job_id)
+        if isinstance(fetched, Err):
+            return Err(self._store_failure(fetched.err_value))
+        stored = fetched.ok_value
+        if stored is None:
+            return Err(self._unknown_job(transfer.job_id))
+        job = stored.job
+        if job.home != self._tenure.zone or job.generation != transfer.generation:
+            return Err(self._elsewhere(job))
+        registered = await self._ensure(job)
+        return registered.map(lambda registration: registration.job)
+
+    async def _found(
+        self, submission: JobSubmission, job: JobRecord
+    ) -> Result[JobRegistration, Failure]:
+        if job.content_digest != content_digest_of(submission):
+            return Err(self._key_reused(submission))
+        # The job's own journal entry may still be on its way.
+        lost = await self._wait(self._ledger.barrier())
+        if lost is not None:
+            return Err(lost)
+        return Ok(JobRegistration(job.view(), created=False))
+
+    async def _adopt_existing(
+        self, submission: JobSubmission
+    ) -> Result[JobRegistration, Failure]:
+        """Handles a key whose record exists in the store but not in this shard."""
+        fetched = await self._job_store.fetch(job_id_of(submission))
+        if isinstance(fetched, Err):
+            return Err(self._store_failure(fetched.err_value))
+        stored = fetched.ok_value
+        if stored is None:
+            return Err(self._unknown_job(job_id_of(submission)))
+        return await self._adopt_stored(submission, stored)
+
+    async def _adopt_stored(
+        self, submission: JobSubmission, stored: StoredJob
+    ) -> Result[JobRegistration, Failure]:
+        job = stored.job
+        if job.content_digest != content_digest_of(submission):
+            return Err(self._key_reused(submission))
+        if job.is_final:
+            return Ok(JobRegistration(job.view(), created=False))
+        if job.home != self._tenure.zone:
+            return Err(self._elsewhere(job))
+        return await self._ensure(job)
+
+    async def _ensure(self, job: JobRecord) -> Result[JobRegistration, Failure]:
+        """Journals a job unless the shard has it already."""
+        known = self._table.jobs.get(job.job_id)
+        if known is None and not job.is_final:
+            return await self._accept(job, created=False)
+        if known is not None and known.generation < job.generation:
+            # The shard still holds the state from before the job moved away.
+            self._ledger.commit(JobDropped(job.job_id))
+            return await self._accept(job, created=False)
+        lost = await self._wait(self._ledger.barrier())
+        if lost is not None:
+            return Err(lost)
+        return Ok(JobRegistration((known or job).view(), created=False))
+
+    async def _accept(
+        self, job: JobRecord, *, created: bool
+    ) -> Result[JobRegistration, Failure]:
+        durable = self._ledger.commit(JobAccepted(job))
+        lost = await self._wait(durable)
+        if lost is not None:
+            return Err(lost)
+        _LOG.info('job accepted', extra={'job': job.job_id, 'zone': job.home})
+        return Ok(JobRegistration(job.view(), created=created))
+
+    async def _wait(self, durable: 'asyncio.Future[None]') -> Failure | None:
+        try:
+            await asyncio.shield(durable)
+        except ShardLostError as error:
+            return Failure.unknown(
+                Step.REGISTER,
+                self._tenure.owner,
+                f'the shard changed its owner: {error}',
+                'ask for the job by its key, or submit it again with the same key',
+            )
+        return None
+
+    def _new_job(self, submission: JobSubmission, entry: CatalogueEntry) -> JobRecord:
+        job_id = job_id_of(submission)
+        tasks = [
+            TaskRecord(task_id_of(job_id, index), payload)
+            for index, payload in enumerate(submission.payloads)
+        ]
+        return JobRecord(
+            job_id=job_id,
+            tenant=submission.tenant,
+            key=submission.key,
+            content_digest=content_digest_of(submission),
+            nonce=self._random.bytes(_NONCE_BYTES).hex(),
+            spec=_spec_of(entry),
+            home=self._tenure.zone,
+            generation=0,
+            accepted_at=self._clock.now(),
+            tasks=tasks,
+        )
+
+    def _unknown_entry(self, submission: JobSubmission) -> ShardFailure:
+        return self._refuse(
+            f'the catalogue has no entry {submission.entry!r}',
+            FailureReason.UNKNOWN_ENTRY,
+        )
+
+    def _unknown_job(self, job_id: JobId) -> ShardFailure:
+        return self._refuse(
+            f'zone {self._tenure.zone} has no job {job_id}', FailureReason.UNKNOWN_JOB
+        )
+
+    def _key_reused(self, submission: JobSubmission) -> ShardFailure:
+        return self._refuse(
+            f'key {submission.key!r} belongs to a job with other contents',
+            FailureReason.KEY_REUSED,
+        )
+
+    def _elsewhere(self, job: JobRecord) -> ShardFailure:
+        return self._refuse(
+            f'job {job.job_id} has its home in zone {job.home}, '
+            f'generation {job.generation}',
+            FailureReason.CONFLICT,
+        )
+
+    def _refuse(self, message: str, reason: FailureReason) -> ShardFailure:
+        return ShardFailure(
+            Verdict.NOT_RUN, Step.REGISTER, self._tenure.owner, message, reason=reason
+        )
+
+    def _store_failure(self, failure: Failure) -> ShardFailure:
+        return ShardFailure(
+            failure.verdict,
+            failure.step,
+            failure.peer,
+            failure.message,
+            'submit the job again with the same key',
+            reason=FailureReason.STORE_UNAVAILABLE,
+        )
+
+
+def _spec_of(entry: CatalogueEntry) -> TaskSpec:
+    return TaskSpec(
+        entry=entry.name,
+        owner=entry.owner,
+        kind=entry.kind or entry.name,
+        resources=entry.resources,
+        idempotent=entry.idempotent,
+        can_checkpoint=entry.can_checkpoint,
+        retry_limit=entry.retry_limit,
+        urgent=entry.priority is Priority.URGENT,
+        deadline_ms=entry.deadline_ms,
+    )
--- /dev/null
+++ b/chiveworks/scheduler/_ledger.py
@@ -0,0 +1,152 @@
+"""Group commit of changes to the journal."""
+
+import asyncio
+from datetime import timedelta
+
+from result import Err
+
+from chiveworks.base import Clock
+from chiveworks.jobs import Change, TaskTable, encode_change
+from chiveworks.journal import Journal
+from chiveworks.scheduler._shard_lost_error import ShardLostError
+
+#: Bytes of changes in one record, well under the store's value limit of 1 MB.
+_RECORD_BYTES = 400_000
+
+
+class Ledger:
+    """Applies changes to the table at once and makes them durable in batches.
+
+    The table is ahead of the journal while a batch is being written. Whatever
+    leaves the process (a command to a worker, an answer) must wait for the
+    future that `commit` returns. When the journal is lost the table is dropped
+    with it.
+    """
+
+    def __init__(
+        self, journal: Journal, table: TaskTable, clock: Clock, tick: timedelta
+    ) -> None:
+        self._journal = journal
+        self._table = table
+        self._clock = clock
+        self._tick = tick
+        self._pending: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._waiting = asyncio.Event()
+        self._writing: asyncio.Future[None] | None = None
+        self._lost = False
+
+    @property
+    def pending_count(self) -> int:
+        """Number of changes that are not durable yet."""
+        return len(self._pending)
+
+    def commit(self, *changes: Change) -> 'asyncio.Future[None]':
+        """Applies changes; the returned future completes once they are durable.
+
+        Raises:
+            ShardLostError: Set on the future when another owner took the shard.
+        """
+        durable = asyncio.get_running_loop().create_future()
+        # A caller may drop the future; a lost shard is then no unhandled error.
+        durable.add_done_callback(_mark_retrieved)
+        if self._lost:
+            durable.set_exception(ShardLostError('the journal is lost'))
+            return durable
+        for change in changes:
+            # Encoded before it is applied: the table goes on changing the job
+            # that a change carries.
+            encoded = encode_change(change)
+            self._table.apply(change)
+            self._pending.append((encoded, durable))
+        if not changes:
+            durable.set_result(None)
+        self._waiting.set()
+        return durable
+
+    def barrier(self) -> 'asyncio.Future[None]':
+        """Returns a future that completes once all earlier changes are durable."""
+        if self._pending:
+            return self._pending[-1][1]
+        if self._writing is not None:
+            return self._writing
+        return self.commit()
+
+    async def run(self) -> None:
+        """Writes batches until the journal is lost.
+
+        Raises:
+            ShardLostError: Another owner wrote to the journal.
+        """
+        try:
+            while True:
+                await self._waiting.wait()
+                await self._write_batch()
+                await self._clock.sleep(self._tick)
+        finally:
+            self._fail_pending()
+
+    async def flush(self) -> None:
+        """Writes all pending changes now; for a planned stop.
+
+        Raises:
+            ShardLostError: Another owner wrote to the journal.
+        """
+        while self._pending:
+            await self._write_batch()
+
+    async def _write_batch(self) -> None:
+        batch = self._cut_batch()
+        snapshot: tuple[bytes, ...] | None = None
+        if self._journal.snapshot_due and not self._pending:
+            # Taken before anything else can change the table, so that it equals
+            # the state after this batch.
+            snapshot = tuple(encode_change(one) for one in self._table.snapshot())
+        if batch:
+            await self._append(batch)
+        if snapshot is not None:
+            written = await self._journal.write_snapshot(snapshot)
+            if isinstance(written, Err):
+                raise ShardLostError(f'epoch {written.err_value.found_epoch} owns it')
+
+    async def _append(self, batch: list[tuple[bytes, asyncio.Future[None]]]) -> None:
+        self._writing = batch[-1][1]
+        try:
+            written = await self._journal.append(tuple(change for change, _ in batch))
+        except asyncio.CancelledError:
+            self._pending = batch + self._pending
+            raise
+        finally:
+            self._writing = None
+        if isinstance(written, Err):
+            self._pending = batch + self._pending
+            raise ShardLostError(f'epoch {written.err_value.found_epoch} owns it')
+        unfinished = {id(durable) for _, durable in self._pending}
+        for _, durable in batch:
+            if not durable.done() and id(durable) not in unfinished:
+                durable.set_result(None)
+
+    def _cut_batch(self) -> list[tuple[bytes, asyncio.Future[None]]]:
+        size_bytes = 0
+        count = 0
+        for change, _ in self._pending:
+            size_bytes += len(change)
+            if size_bytes > _RECORD_BYTES and count:
+                break
+            count += 1
+        batch = self._pending[:count]
+        self._pending = self._pending[count:]
+        if not self._pending:
+            self._waiting.clear()
+        return batch
+
+    def _fail_pending(self) -> None:
+        self._lost = True
+        for _, durable in self._pending:
+            if not durable.done():
+                durable.set_exception(ShardLostError('the journal is lost'))
+        self._pending = []
+
+
+def _mark_retrieved(durable: 'asyncio.Future[None]') -> None:
+    if not durable.cancelled():
+        durable.exception()
--- /dev/null
+++ b/chiveworks/scheduler/_reconcile.py
@@ -0,0 +1,219 @@
+"""Compares a worker's report with the shard's table."""
+
+from datetime import datetime
+
+from chiveworks.base import TaskId
+from chiveworks.jobs import (
+    OverrideClosed,
+    OverrideNoted,
+    TaskMoved,
+    TaskRecord,
+    TaskResized,
+    TaskTable,
+)
+from chiveworks.membership import OverrideKind, TaskState
+from chiveworks.scheduler import _attempt_end as attempt_end
+from chiveworks.scheduler._override_records import (
+    is_resized,
+    note_override,
+    override_id_of,
+)
+from chiveworks.scheduler._reconciliation import Reconciliation
+from chiveworks.scheduler._start_phase import StartPhase
+from chiveworks.scheduler._start_track import StartTrack
+from chiveworks.workers import ReportedState, TaskReport, WorkerReport
+
+
+class Reconciler:
+    """Finds what a report says about claims, ends and manual overrides."""
+
+    def __init__(self, table: TaskTable, ticket_max_age_ms: int) -> None:
+        self._table = table
+        self._ticket_max_age_ms = ticket_max_age_ms
+
+    def reconcile(
+        self,
+        report: WorkerReport,
+        starts: dict[TaskId, StartTrack],
+        now: datetime,
+    ) -> Reconciliation:
+        """Compares a report with the table.
+
+        Args:
+            report: The worker's report.
+            starts: Starts that this owner has sent to the worker.
+            now: Time to record for overrides, in UTC.
+        """
+        outcome = Reconciliation()
+        for task_report in report.tasks:
+            self._compare(report, task_report, now, outcome)
+        listed = {one.task_id for one in report.tasks}
+        for task in self._table.active_on(report.worker):
+            if task.task_id not in listed:
+                self._judge_missing(report, task, starts.get(task.task_id), outcome)
+        self._close_ended_overrides(report, outcome)
+        return outcome
+
+    def _compare(
+        self,
+        report: WorkerReport,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        task = self._table.tasks.get(task_report.task_id)
+        if task is None:
+            self._compare_unknown(report, task_report, now, outcome)
+        elif self._is_former(task, task_report):
+            _compare_former(task_report, outcome)
+        elif task.worker != report.worker or not task.is_active:
+            self._compare_elsewhere(report, task, task_report, now, outcome)
+        elif task_report.state.ended:
+            self._record_end(report, task, task_report, now, outcome)
+        else:
+            self._record_running(report, task, task_report, now, outcome)
+
+    def _is_former(self, task: TaskRecord, task_report: TaskReport) -> bool:
+        """Tells whether the table counts the reported attempt as ended.
+
+        A held task counts as current: after a move by hand its former worker
+        reports a stop, possibly before the new worker reports that it runs.
+        """
+        if task.attempt != task_report.attempt:
+            return True
+        return not task.is_active and task.state is not TaskState.HELD
+
+    def _record_end(
+        self,
+        report: WorkerReport,
+        task: TaskRecord,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        job = self._table.job_of(task.task_id)
+        ended = attempt_end.reported(job, task, task_report)
+        outcome.changes.append(ended)
+        if ended.state is TaskState.HELD:
+            override = note_override(
+                OverrideKind.STOPPED, report.worker, task_report, job.spec, now
+            )
+            outcome.changes.append(OverrideNoted(override))
+        outcome.acknowledge.append((task.task_id, task.attempt))
+        outcome.gone.append(task.task_id)
+
+    def _record_running(
+        self,
+        report: WorkerReport,
+        task: TaskRecord,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        if task.state is TaskState.CLAIMED:
+            task.state = TaskState.RUNNING
+        if task_report.checkpoint:
+            task.checkpoint = task_report.checkpoint
+        if is_resized(task, task_report):
+            spec = self._table.job_of(task.task_id).spec
+            override = note_override(
+                OverrideKind.RESIZED, report.worker, task_report, spec, now
+            )
+            outcome.changes.append(TaskResized(task.task_id, task_report.allotted))
+            outcome.changes.append(OverrideNoted(override))
+
+    def _compare_unknown(
+        self,
+        report: WorkerReport,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        if task_report.state.ended:
+            outcome.acknowledge.append((task_report.task_id, task_report.attempt))
+            return
+        override_id = override_id_of(OverrideKind.UNCLAIMED, task_report)
+        noted = self._table.overrides.get(override_id)
+        if noted is None or noted.allotted != task_report.allotted:
+            override = note_override(
+                OverrideKind.UNCLAIMED, report.worker, task_report, None, now
+            )
+            outcome.changes.append(OverrideNoted(override))
+
+    def _compare_elsewhere(
+        self,
+        report: WorkerReport,
+        task: TaskRecord,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        """Handles the current attempt on another worker than the claimed one."""
+        if task_report.state.ended:
+            outcome.acknowledge.append((task.task_id, task.attempt))
+            return
+        if override_id_of(OverrideKind.MOVED, task_report) in self._table.overrides:
+            # Moved already, and the former worker still runs it: one copy only.
+            outcome.stale.append((task.task_id, task.attempt))
+            return
+        spec = self._table.job_of(task.task_id).spec
+        override = note_override(
+            OverrideKind.MOVED, report.worker, task_report, spec, now
+        )
+        stopped_id = override_id_of(OverrideKind.STOPPED, task_report)
+        if stopped_id in self._table.overrides:
+            outcome.changes.append(OverrideClosed(stopped_id))
+        # Followed before the size is compared: the reservation moves with it.
+        outcome.changes.append(TaskMoved(task.task_id, report.worker, report.boot_id))
+        outcome.changes.append(OverrideNoted(override))
+
+    def _judge_missing(
+        self,
+        report: WorkerReport,
+        task: TaskRecord,
+        start: StartTrack | None,
+        outcome: Reconciliation,
+    ) -> None:
+        """Handles a claim that the worker does not list."""
+        job = self._table.job_of(task.task_id)
+        if start is not None and start.attempt != task.attempt:
+            start = None
+        if start is not None and start.phase is StartPhase.CLAIMING:
+            return
+        if report.boot_id != task.boot_id:
+            reason = f'worker {report.worker} restarted'
+            outcome.changes.append(attempt_end.lost(job, task, reason))
+        elif start is None or start.phase is StartPhase.SENT:
+            # A former owner's start is refused from now on: the worker has seen
+            # this owner's epoch. An own start is refused once its ticket is old.
+            age_ms = report.ticket - start.ticket if start else None
+            if age_ms is not None and age_ms <= self._ticket_max_age_ms:
+                return
+            outcome.changes.append(attempt_end.never_started(job, task))
+        else:
+            reason = f'worker {report.worker} no longer lists the task'
+            outcome.changes.append(attempt_end.lost(job, task, reason))
+        outcome.gone.append(task.task_id)
+
+    def _close_ended_overrides(
+        self, report: WorkerReport, outcome: Reconciliation
+    ) -> None:
+        running = {
+            override_id_of(OverrideKind.UNCLAIMED, one)
+            for one in report.tasks
+            if not one.state.ended
+        }
+        for override in self._table.overrides.values():
+            is_here = override.worker == report.worker
+            if is_here and override.kind is OverrideKind.UNCLAIMED:
+                if override.override_id not in running:
+                    outcome.changes.append(OverrideClosed(override.override_id))
+
+
+def _compare_former(task_report: TaskReport, outcome: Reconciliation) -> None:
+    """Handles an attempt that the table counts as ended."""
+    attempt = (task_report.task_id, task_report.attempt)
+    if task_report.state is ReportedState.RUNNING:
+        outcome.stale.append(attempt)
+    else:
+        outcome.acknowledge.append(attempt)
--- /dev/null
+++ b/chiveworks/scheduler/_shard_lease.py
@@ -0,0 +1,132 @@
+"""Ownership of a shard under a lease of the platform's store."""
+
+from datetime import timedelta
+
+import msgpack
+from numpy.random import Generator
+from result import Err, Ok, Result
+
+from chiveworks.base import (
+    Clock,
+    EntryId,
+    Epoch,
+    Failure,
+    Revision,
+    StoreLeaseId,
+    ZoneName,
+)
+from chiveworks.journal import owner_key
+from chiveworks.scheduler._shard_lost_error import ShardLostError
+from chiveworks.scheduler._timings import SchedulerTimings
+from chiveworks.store import Store, StoreConflict
+
+_ABSENT = Revision(0)
+_NONCE_BYTES = 12
+
+
+class ShardLease:
+    """Creates the shard's owner key, keeps its lease alive and gives it up.
+
+    The key's revision at creation is the epoch: the store's revisions only rise,
+    so a later owner always has a higher one.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        zone: ZoneName,
+        entry_id: EntryId,
+        peer_address: str,
+        clock: Clock,
+        random: Generator,
+        timings: SchedulerTimings,
+    ) -> None:
+        self._store = store
+        self._zone = zone
+        self._entry_id = entry_id
+        self._peer_address = peer_address
+        self._clock = clock
+        self._random = random
+        self._timings = timings
+        self._lease: StoreLeaseId | None = None
+        self._answered = timedelta(0)
+
+    @property
+    def silence(self) -> timedelta:
+        """Time since the store last answered a renewal."""
+        return self._clock.monotonic() - self._answered
+
+    async def acquire(self) -> Result[Epoch | None, Failure]:
+        """Tries to become the owner; None when the shard has one."""
+        granted = await self._store.grant_lease(self._timings.shard_lease)
+        if isinstance(granted, Err):
+            return granted
+        lease = granted.ok_value
+        nonce = self._random.bytes(_NONCE_BYTES)
+        claim = msgpack.packb([self._entry_id, self._peer_address, nonce])
+        created = await self._store.compare_and_swap(
+            owner_key(self._zone), claim, _ABSENT, lease
+        )
+        epoch = await self._settle(created, claim)
+        if isinstance(epoch, Ok) and epoch.ok_value is not None:
+            self._lease = lease
+            self._answered = self._clock.monotonic()
+        else:
+            await self._store.revoke_lease(lease)
+        return epoch
+
+    async def wait_for_vacancy(self, wait: timedelta) -> None:
+        """Waits until the owner key may be gone, at most `wait`."""
+        read = await self._store.fetch(owner_key(self._zone))
+        if isinstance(read, Err):
+            await self._clock.sleep(wait)
+        elif read.ok_value.first() is not None:
+            watched = await self._store.watch(
+                owner_key(self._zone), read.ok_value.revision, wait
+            )
+            if isinstance(watched, Err):
+                await self._clock.sleep(wait)
+
+    async def hold(self) -> None:
+        """Renews the lease until it is lost.
+
+        Raises:
+            ShardLostError: The lease lapsed, or the store was silent for longer
+                than a successor waits before it counts workers as free.
+        """
+        while True:
+            await self._clock.sleep(self._timings.shard_renew)
+            renewed = await self._store.renew_lease(self._require_lease())
+            if isinstance(renewed, Ok):
+                if not renewed.ok_value:
+                    raise ShardLostError('the lease in the store has lapsed')
+                self._answered = self._clock.monotonic()
+            elif self.silence > self._timings.store_outage_tolerance:
+                raise ShardLostError('the store was silent for too long')
+
+    async def release(self) -> None:
+        """Gives the shard up so that another process can take it at once."""
+        if self._lease is not None:
+            await self._store.revoke_lease(self._lease)
+            self._lease = None
+
+    async def _settle(
+        self, created: Result[Revision, Failure | StoreConflict], claim: bytes
+    ) -> Result[Epoch | None, Failure]:
+        if isinstance(created, Ok):
+            return Ok(Epoch(created.ok_value))
+        if isinstance(created.err_value, StoreConflict):
+            return Ok(None)
+        # The answer was lost; the write may have taken effect.
+        read = await self._store.fetch(owner_key(self._zone))
+        if isinstance(read, Err):
+            return Err(created.err_value)
+        found = read.ok_value.first()
+        if found is not None and found.value == claim:
+            return Ok(Epoch(found.create_revision))
+        return Ok(None)
+
+    def _require_lease(self) -> StoreLeaseId:
+        if self._lease is None:
+            raise ShardLostError('the shard was never acquired')
+        return self._lease
--- /dev/null
+++ b/chiveworks/scheduler/_shard_views.py
@@ -0,0 +1,32 @@
+"""A shard's state as shown to operators."""
+
+from collections import Counter
+
+from chiveworks.base import WorkerId
+from chiveworks.jobs import TaskTable
+from chiveworks.membership import JobState, ShardView, TaskCount
+from chiveworks.scheduler._tenure import Tenure
+
+
+def describe_shard(
+    tenure: Tenure,
+    table: TaskTable,
+    worker_count: int,
+    quarantined: tuple[WorkerId, ...],
+) -> ShardView:
+    """Returns counts, open overrides and jobs with unknown outcome."""
+    counts = Counter(task.state for task in table.tasks.values())
+    return ShardView(
+        tenure.zone,
+        tenure.owner,
+        tenure.epoch,
+        tuple(TaskCount(state, count) for state, count in sorted(counts.items())),
+        worker_count,
+        quarantined,
+        tuple(one.view(tenure.zone) for one in table.overrides.values()),
+        tuple(
+            job.view()
+            for job in table.jobs.values()
+            if job.state is JobState.OUTCOME_UNKNOWN
+        ),
+    )
--- /dev/null
+++ b/chiveworks/scheduler/_tenure.py
@@ -0,0 +1,23 @@
+"""One period of ownership of a shard."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chiveworks.base import EntryId, Epoch, ZoneName
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """Who owns the shard, under which epoch and since when.
+
+    Attributes:
+        zone: Zone of the shard.
+        owner: The entry process.
+        epoch: Its fencing token.
+        started: Monotonic time at which the ownership was known.
+    """
+
+    zone: ZoneName
+    owner: EntryId
+    epoch: Epoch
+    started: timedelta
--- /dev/null
+++ b/chiveworks/scheduler/_work_queue.py
@@ -0,0 +1,125 @@
+"""Feeds the queue of waiting tasks from the changes of the table."""
+
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from chiveworks import jobs
+from chiveworks.base import Clock, ServiceClass, TaskId
+from chiveworks.jobs import JobRecord, TaskRecord, TaskTable
+from chiveworks.membership import TaskState
+from chiveworks.placement import Demand, TaskQueue
+
+
+class WorkQueue:
+    """Keeps the queue equal to the table's tasks in the state `queued`."""
+
+    def __init__(self, queue: TaskQueue, table: TaskTable, clock: Clock) -> None:
+        self._queue = queue
+        self._table = table
+        self._clock = clock
+        self._demands: dict[TaskId, Demand] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of waiting tasks."""
+        return len(self._queue)
+
+    def load(self) -> None:
+        """Fills the queue from a table that was replayed."""
+        for job in self._table.jobs.values():
+            self._push_waiting(job)
+            for task in job.tasks:
+                if task.is_active:
+                    self._queue.add_running(self._demand_of(job, task))
+
+    def pop(self) -> Demand | None:
+        """Takes the next task; it must be claimed or given back."""
+        return self._queue.pop()
+
+    def give_back(self, demand: Demand) -> None:
+        """Returns a popped task that found no worker."""
+        self._queue.ended(demand)
+        self._queue.push(demand)
+
+    def drop(self, demand: Demand) -> None:
+        """Forgets a popped task that must not run any more."""
+        self._queue.ended(demand)
+        self._demands.pop(demand.task_id, None)
+
+    @singledispatchmethod
+    def observe(self, change: object) -> None:
+        """Follows a change that was applied to the table."""
+
+    @observe.register
+    def _job_accepted(self, change: jobs.JobAccepted) -> None:
+        self._push_waiting(change.job)
+
+    @observe.register
+    def _job_cancelled(self, change: jobs.JobCancelled) -> None:
+        self._withdraw(self._table.jobs[change.job_id])
+
+    @observe.register
+    def _job_unschedulable(self, change: jobs.JobUnschedulable) -> None:
+        self._withdraw(self._table.jobs[change.job_id])
+
+    @observe.register
+    def _job_moving(self, change: jobs.JobMoving) -> None:
+        self._withdraw(self._table.jobs[change.job_id])
+
+    @observe.register
+    def _job_stayed(self, change: jobs.JobStayed) -> None:
+        self._push_waiting(self._table.jobs[change.job_id])
+
+    @observe.register
+    def _task_ended(self, change: jobs.TaskEnded) -> None:
+        demand = self._demands.pop(change.task_id, None)
+        if demand is not None:
+            self._queue.ended(demand)
+        if change.state is TaskState.QUEUED:
+            job = self._table.job_of(change.task_id)
+            self._push(job, self._table.tasks[change.task_id])
+
+    @observe.register
+    def _task_released(self, change: jobs.TaskReleased) -> None:
+        if change.state is TaskState.QUEUED:
+            job = self._table.job_of(change.task_id)
+            self._push(job, self._table.tasks[change.task_id])
+
+    @observe.register
+    def _task_moved(self, change: jobs.TaskMoved) -> None:
+        if change.task_id not in self._demands:
+            job = self._table.job_of(change.task_id)
+            task = self._table.tasks[change.task_id]
+            self._queue.add_running(self._demand_of(job, task))
+
+    def _push_waiting(self, job: JobRecord) -> None:
+        if job.moving or job.unschedulable:
+            return
+        for task in job.tasks:
+            if task.state is TaskState.QUEUED:
+                self._push(job, task)
+
+    def _push(self, job: JobRecord, task: TaskRecord) -> None:
+        self._queue.push(self._demand_of(job, task))
+
+    def _withdraw(self, job: JobRecord) -> None:
+        for task in job.tasks:
+            if self._queue.remove(task.task_id):
+                self._demands.pop(task.task_id, None)
+
+    def _demand_of(self, job: JobRecord, task: TaskRecord) -> Demand:
+        spec = job.spec
+        waited = max(self._clock.now() - job.accepted_at, timedelta(0))
+        arrival = self._clock.monotonic() - waited
+        allowed = timedelta(milliseconds=spec.deadline_ms)
+        demand = Demand(
+            task_id=task.task_id,
+            kind=spec.kind,
+            tenant=job.tenant,
+            resources=spec.resources,
+            arrival=arrival,
+            service_class=ServiceClass.BATCH,
+            urgent=spec.urgent,
+            deadline=arrival + allowed if spec.deadline_ms else None,
+        )
+        self._demands[task.task_id] = demand
+        return demand
--- /dev/null
+++ b/chiveworks/scheduler/_worker_session.py
@@ -0,0 +1,201 @@
+"""Connection of the shard owner with one worker."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Attempt, Clock, Failure, TaskId, TicketMs, WorkerId
+from chiveworks.instances import Instance
+from chiveworks.scheduler._start_phase import StartPhase
+from chiveworks.scheduler._start_track import StartTrack
+from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._timings import SchedulerTimings
+from chiveworks.workers import (
+    Refusal,
+    RefusalReason,
+    Renewal,
+    StartOrder,
+    WorkerControl,
+    WorkerReport,
+)
+
+_NO_TICKET = TicketMs(0)
+_RENEWALS_TO_LEASE = 2
+_MS = timedelta(milliseconds=1)
+
+
+class WorkerSession:
+    """Renews a worker's control lease, sends it commands and keeps its report.
+
+    One command at a time is in flight, in the order in which they were given.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        control: WorkerControl,
+        tenure: Tenure,
+        clock: Clock,
+        timings: SchedulerTimings,
+        first_bound: timedelta,
+    ) -> None:
+        self.instance = instance
+        self.worker = WorkerId(instance.instance_id)
+        self.report: WorkerReport | None = None
+        self.starts: dict[TaskId, StartTrack] = {}
+        self.stops: dict[TaskId, timedelta] = {}
+        self._control = control
+        self._tenure = tenure
+        self._clock = clock
+        self._timings = timings
+        # Monotonic time after which no lease on this worker can be alive.
+        self._lease_end = first_bound
+        self._ticket_received = timedelta(0)
+        self._leased_until = timedelta(0)
+        self._acknowledged: set[tuple[TaskId, Attempt]] = set()
+        self._lock = asyncio.Lock()
+
+    @property
+    def is_leased(self) -> bool:
+        """Whether the last report said that the control lease is alive."""
+        return self._clock.monotonic() < self._leased_until
+
+    @property
+    def has_pending_starts(self) -> bool:
+        """Whether the outcome of a start is still unknown.
+
+        Such a worker gets no further starts: it may be the one at fault.
+        """
+        return any(one.phase is StartPhase.SENT for one in self.starts.values())
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether every lease on the worker has certainly lapsed."""
+        return self._clock.monotonic() > self._lease_end
+
+    @property
+    def ticket_age(self) -> timedelta:
+        """Time since the last ticket was received."""
+        return self._clock.monotonic() - self._ticket_received
+
+    def acknowledge(self, task_id: TaskId, attempt: Attempt) -> None:
+        """Lets the worker forget an ended attempt with the next renewal."""
+        self._acknowledged.add((task_id, attempt))
+
+    async def run(
+        self,
+        on_report: Callable[['WorkerSession', WorkerReport], None],
+        on_silence: Callable[['WorkerSession'], None],
+        is_busy: Callable[['WorkerSession'], bool],
+    ) -> None:
+        """Renews the lease periodically; never ends by itself."""
+        while True:
+            began = self._clock.monotonic()
+            renewed = await self.renew()
+            if isinstance(renewed, Ok):
+                on_report(self, renewed.ok_value)
+            elif began > self._lease_end:
+                # Only an attempt that began after the bound counts: this process
+                # may have been paused, and the worker may have news.
+                on_silence(self)
+            period = self._timings.worker_renew
+            if not is_busy(self) and isinstance(renewed, Ok):
+                period = self._timings.idle_worker_renew
+            elif not self.is_leased:
+                period = self._timings.worker_renew / 4
+            await self._clock.sleep(period)
+
+    async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
+        """Renews the control lease and takes over the worker's report."""
+        async with self._lock:
+            return await self._renew_locked()
+
+    async def ready_ticket(self) -> TicketMs | None:
+        """Returns a fresh ticket under a live lease, or None without contact."""
+        # A first contact takes two renewals: the first only yields a ticket.
+        for _ in range(_RENEWALS_TO_LEASE):
+            if self.is_leased and self.ticket_age < self._timings.ticket_fresh_age:
+                break
+            if isinstance(await self.renew(), Err):
+                return None
+        return self.report.ticket if self.report and self.is_leased else None
+
+    async def start(self, order: StartOrder) -> Result[None, Failure | Refusal]:
+        """Sends a start; the worker refuses it when its ticket is too old."""
+        async with self._lock:
+            self.starts[order.task_id] = StartTrack(
+                order.attempt, StartPhase.SENT, order.ticket
+            )
+            started = await self._control.start(order)
+            if isinstance(started, Ok) or _is_already_started(started.err_value):
+                self.starts[order.task_id].phase = StartPhase.CONFIRMED
+                return Ok(None)
+            return started
+
+    async def stop(
+        self, task_id: TaskId, attempt: Attempt, *, checkpoint: bool
+    ) -> Result[None, Failure | Refusal]:
+        """Asks for a stop; a later report confirms it."""
+        self.stops[task_id] = self._clock.monotonic()
+        async with self._lock:
+            return await self._control.stop(
+                self._tenure.epoch, task_id, attempt, checkpoint=checkpoint
+            )
+
+    async def throttle(
+        self, task_id: TaskId, attempt: Attempt, share: float
+    ) -> Result[None, Failure | Refusal]:
+        """Limits an attempt to a share of its processors."""
+        async with self._lock:
+            return await self._control.throttle(
+                self._tenure.epoch, task_id, attempt, share
+            )
+
+    async def resize(
+        self, task_id: TaskId, attempt: Attempt, cpu_millicores: int
+    ) -> Result[None, Failure | Refusal]:
+        """Sets the processors held for an attempt."""
+        async with self._lock:
+            return await self._control.resize(
+                self._tenure.epoch, task_id, attempt, cpu_millicores
+            )
+
+    def is_stop_due(self, task_id: TaskId) -> bool:
+        """Whether a stop was never sent or its confirmation is overdue."""
+        sent = self.stops.get(task_id)
+        if sent is None:
+            return True
+        return self._clock.monotonic() - sent > self._timings.stop_repeat
+
+    async def _renew_locked(self) -> Result[WorkerReport, Failure | Refusal]:
+        quoted = self.report.ticket if self.report else _NO_TICKET
+        acknowledged = tuple(sorted(self._acknowledged))
+        if quoted:
+            # Noted before sending: a renewal whose answer is lost counts too.
+            bound = self._ticket_received + self._timings.lease_bound
+            self._lease_end = max(self._lease_end, bound)
+        renewed = await self._control.renew(
+            Renewal(
+                self._tenure.owner,
+                self._tenure.epoch,
+                int(self._timings.worker_lease / _MS),
+                quoted,
+                acknowledged,
+            )
+        )
+        if isinstance(renewed, Ok):
+            self._take_report(renewed.ok_value)
+            self._acknowledged.difference_update(acknowledged)
+        return renewed
+
+    def _take_report(self, report: WorkerReport) -> None:
+        now = self._clock.monotonic()
+        self.report = report
+        self._ticket_received = now
+        self._leased_until = now + report.lease_left_ms * _MS
+
+
+def _is_already_started(error: Failure | Refusal) -> bool:
+    return isinstance(error, Refusal) and error.reason is RefusalReason.ALREADY_STARTED
--- /dev/null
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -0,0 +1,170 @@
+"""Evicts tasks and moves jobs while the zone is out of service."""
+
+import logging
+from typing import Protocol
+
+from numpy.random import Generator
+from result import Err, Result
+
+from chiveworks.base import Failure, JobId, ZoneName
+from chiveworks.catalogue import CatalogueReplica
+from chiveworks.jobs import (
+    JobAccepted,
+    JobDropped,
+    JobMoving,
+    JobRecord,
+    JobStayed,
+    JobStore,
+    TaskRecord,
+    TaskTable,
+)
+from chiveworks.membership import JobTransfer, JobView, TaskState
+from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._tenure import Tenure
+from chiveworks.store import StoreConflict
+
+_LOG = logging.getLogger(__name__)
+_NONCE_BYTES = 12
+
+
+class TransferCaller(Protocol):
+    """Reaches the owners of other zones' shards."""
+
+    async def transfer(
+        self, zone: ZoneName, transfer: JobTransfer
+    ) -> Result[JobView, Failure]:
+        """Asks the owner of `zone` to take over a job."""
+
+
+class ZoneDeparture:
+    """Decides which tasks to evict and hands jobs over to other zones.
+
+    A move is journalled before the job's record names another home. Afterwards
+    the job cannot start here, also for a successor, until the record has been
+    written again: only one of the two homes can win that compare-and-swap.
+    """
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        table: TaskTable,
+        ledger: Ledger,
+        job_store: JobStore,
+        replica: CatalogueReplica,
+        caller: TransferCaller,
+        zones: tuple[ZoneName, ...],
+        random: Generator,
+    ) -> None:
+        self._tenure = tenure
+        self._table = table
+        self._ledger = ledger
+        self._job_store = job_store
+        self._replica = replica
+        self._caller = caller
+        self._zones = zones
+        self._random = random
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether operators have taken the zone out."""
+        return not self._replica.is_in_service(self._tenure.zone)
+
+    def tasks_to_evict(self) -> tuple[TaskRecord, ...]:
+        """Returns the running tasks that are to be checkpointed and stopped."""
+        if not self.is_leaving:
+            return ()
+        return tuple(
+            task
+            for task in self._table.active_tasks()
+            if self._table.job_of(task.task_id).spec.resumable
+        )
+
+    async def move_jobs(self) -> int:
+        """Moves the jobs that have nothing running; returns how many moved."""
+        moved = 0
+        for job in tuple(self._table.jobs.values()):
+            if job.job_id in self._table.jobs and self._is_movable(job):
+                moved += await self._move(job)
+        return moved
+
+    def _is_movable(self, job: JobRecord) -> bool:
+        if job.moving:
+            return True
+        return self.is_leaving and not job.is_final and _is_waiting(job)
+
+    async def _move(self, job: JobRecord) -> int:
+        fetched = await self._job_store.fetch(job.job_id)
+        if isinstance(fetched, Err) or fetched.ok_value is None:
+            return 0
+        stored = fetched.ok_value
+        if stored.job.home != self._tenure.zone:
+            return await self._hand_over(job, stored.job.home, stored.job.generation)
+        if stored.job.generation > job.generation:
+            # Moved away and back, or a move was given up: the record is newer.
+            await self._ledger.commit(JobDropped(job.job_id), JobAccepted(stored.job))
+            return 0
+        if not job.moving:
+            await self._ledger.commit(JobMoving(job.job_id))
+        target = self._choose_target(job.job_id)
+        if target is None and self.is_leaving:
+            # Nowhere to go; the journalled move is decided when a zone is back.
+            return 0
+        generation = stored.job.generation + 1
+        record = _copy(
+            job,
+            home=target or self._tenure.zone,
+            generation=generation,
+            nonce=self._random.bytes(_NONCE_BYTES).hex(),
+        )
+        written = await self._job_store.write(record, stored.revision)
+        if isinstance(written, Err):
+            return _no_move(job, written.err_value)
+        if target is None:
+            await self._ledger.commit(JobStayed(job.job_id, generation))
+            return 0
+        return await self._hand_over(job, target, generation)
+
+    def _choose_target(self, job_id: JobId) -> ZoneName | None:
+        """Returns another zone in service, or None when the job stays."""
+        if not self.is_leaving:
+            return None
+        others = [
+            zone
+            for zone in self._zones
+            if zone != self._tenure.zone and self._replica.is_in_service(zone)
+        ]
+        return others[self._random.integers(len(others))] if others else None
+
+    async def _hand_over(self, job: JobRecord, home: ZoneName, generation: int) -> int:
+        taken = await self._caller.transfer(home, JobTransfer(job.job_id, generation))
+        if isinstance(taken, Err):
+            _LOG.warning(
+                'transfer failed and is repeated: %s',
+                taken.err_value,
+                extra={'job': job.job_id, 'zone': home},
+            )
+            return 0
+        if job.job_id in self._table.jobs:
+            await self._ledger.commit(JobDropped(job.job_id))
+        return 1
+
+
+def _is_waiting(job: JobRecord) -> bool:
+    """Tells whether the job has work left and none of it is running or held."""
+    states = {task.state for task in job.tasks}
+    has_held = TaskState.HELD in states
+    return not has_held and not any(task.is_active for task in job.tasks)
+
+
+def _copy(job: JobRecord, home: ZoneName, generation: int, nonce: str) -> JobRecord:
+    record = JobRecord.decode(job.encode())
+    record.home = home
+    record.generation = generation
+    record.nonce = nonce
+    record.moving = False
+    return record
+
+
+def _no_move(job: JobRecord, error: Failure | StoreConflict) -> int:
+    _LOG.info('move of the job not written: %s', error, extra={'job': job.job_id})
+    return 0
