Place tasks by predicted harm from an index of free resources

Cause: services and batch tasks slow each other down by pair and load, and a decision must not scan every worker. Change: Demand, Candidate, first_fit and interference_aware policies, a CandidateIndex of cells by magnitude of free resources, and a Bayesian regression of slowdown per pair of kinds with forgetting.

--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -1,1 +1,27 @@
-"""placement."""
+"""Placement decisions: policies, estimates, queue, protection of services."""
+
+from chiveworks.placement._bound import Bound
+from chiveworks.placement._candidate import Candidate
+from chiveworks.placement._candidate_index import CandidateIndex
+from chiveworks.placement._demand import Demand
+from chiveworks.placement._first_fit import FirstFit
+from chiveworks.placement._interference_aware import InterferenceAware
+from chiveworks.placement._policy import PlacementPolicy, placement_policies
+from chiveworks.placement._slowdown_estimator import SlowdownEstimator
+from chiveworks.placement._slowdown_sample import SlowdownSample
+from chiveworks.placement._weights import PlacementWeights
+
+__all__ = (
+    'Bound',
+    'Candidate',
+    'CandidateIndex',
+    'DeadlineFair',
+    'Demand',
+    'FirstFit',
+    'InterferenceAware',
+    'PlacementPolicy',
+    'PlacementWeights',
+    'SlowdownEstimator',
+    'SlowdownSample',
+    'placement_policies',
+)
