Queue batch work by deadline, age and team quotas

Cause: urgent work must come first without starving the rest, and no team may exceed its quota. Change: TaskQueue with one heap for each team and one of their heads; orders fifo and deadline_fair with fixed keys, so pops cost O(log n).

--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -6,7 +6,9 @@
 from chiveworks.placement._demand import Demand
 from chiveworks.placement._first_fit import FirstFit
 from chiveworks.placement._interference_aware import InterferenceAware
+from chiveworks.placement._orders import DeadlineFair, Fifo
 from chiveworks.placement._policy import PlacementPolicy, placement_policies
+from chiveworks.placement._queue import QueueOrder, TaskQueue, queue_orders
 from chiveworks.placement._slowdown_estimator import SlowdownEstimator
 from chiveworks.placement._slowdown_sample import SlowdownSample
 from chiveworks.placement._weights import PlacementWeights
@@ -17,11 +19,15 @@
     'CandidateIndex',
     'DeadlineFair',
     'Demand',
+    'Fifo',
     'FirstFit',
     'InterferenceAware',
     'PlacementPolicy',
     'PlacementWeights',
+    'QueueOrder',
     'SlowdownEstimator',
     'SlowdownSample',
+    'TaskQueue',
     'placement_policies',
+    'queue_orders',
 )
