--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -8,6 +8,7 @@
 from chiveworks.placement._interference_aware import InterferenceAware
 from chiveworks.placement._orders import DeadlineFair, Fifo
 from chiveworks.placement._policy import PlacementPolicy, placement_policies
+from chiveworks.placement._quarantine import Quarantine
 from chiveworks.placement._queue import QueueOrder, TaskQueue, queue_orders
 from chiveworks.placement._slowdown_estimator import SlowdownEstimator
 from chiveworks.placement._slowdown_sample import SlowdownSample
@@ -24,6 +25,7 @@
     'InterferenceAware',
     'PlacementPolicy',
     'PlacementWeights',
+    'Quarantine',
     'QueueOrder',
     'SlowdownEstimator',
     'SlowdownSample',
