Correct declared sizes and run times from observation

Cause: declared sizes and run times are far from the actual ones. Change: SizeEstimator with the last 64 tasks of each kind; a reservation is the larger of the declared amount and the observed 0.95 quantile.

--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -10,6 +10,8 @@
 from chiveworks.placement._policy import PlacementPolicy, placement_policies
 from chiveworks.placement._quarantine import Quarantine
 from chiveworks.placement._queue import QueueOrder, TaskQueue, queue_orders
+from chiveworks.placement._size_estimator import SizeEstimator
+from chiveworks.placement._size_sample import SizeSample
 from chiveworks.placement._slowdown_estimator import SlowdownEstimator
 from chiveworks.placement._slowdown_sample import SlowdownSample
 from chiveworks.placement._weights import PlacementWeights
@@ -27,6 +29,8 @@
     'PlacementWeights',
     'Quarantine',
     'QueueOrder',
+    'SizeEstimator',
+    'SizeSample',
     'SlowdownEstimator',
     'SlowdownSample',
     'TaskQueue',
--- /dev/null
+++ b/chiveworks/placement/_size_estimator.py
@@ -0,0 +1,57 @@
+"""Corrections of declared sizes and run times."""
+
+import math
+from collections.abc import Iterable
+from datetime import timedelta
+
+import numpy as np
+
+from chiveworks.base import Resources, check_positive, check_share
+from chiveworks.placement._size_history import SizeHistory
+from chiveworks.placement._size_sample import SizeSample
+
+
+class SizeEstimator:
+    """Learns by kind how far tasks differ from what they declare.
+
+    A reservation never falls below the declared size: a task may use all it
+    has declared at any time, whatever was observed before.
+
+    Args:
+        share: Share of observed tasks that a reservation has to cover.
+        min_samples: Tasks below which the declared size is kept.
+        prior_weight: Tasks that the declared run time is worth.
+    """
+
+    def __init__(
+        self, share: float = 0.95, min_samples: int = 5, prior_weight: float = 3
+    ) -> None:
+        self.share = share
+        self.min_samples = min_samples
+        self.prior_weight = prior_weight
+        # The trailing underscore marks learned state (design.md, section 13).
+        self.histories_: dict[str, SizeHistory] = {}  # noqa: WPS120
+
+    def partial_fit(self, samples: Iterable[SizeSample]) -> 'SizeEstimator':
+        """Learns from tasks that have ended."""
+        for sample in samples:
+            self.histories_.setdefault(sample.kind, SizeHistory()).add(sample)
+        return self
+
+    def predict(self, kind: str, declared: Resources) -> Resources:
+        """Returns the amount to reserve: the declared or the observed one if larger."""
+        check_share('share', self.share)
+        history = self.histories_.get(kind)
+        if history is None or len(history.used) < self.min_samples:
+            return declared
+        return declared.maximum(history.quantile(self.share))
+
+    def predict_run_time(self, kind: str, declared: timedelta) -> timedelta:
+        """Returns the declared run time, corrected by the median of observed ratios."""
+        check_positive('prior_weight', self.prior_weight)
+        history = self.histories_.get(kind)
+        if history is None or not history.log_ratios:
+            return declared
+        count = len(history.log_ratios)
+        trust = count / (count + self.prior_weight)
+        return declared * math.exp(trust * float(np.median(history.log_ratios)))
