--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -8,6 +8,10 @@
 from chiveworks.placement._interference_aware import InterferenceAware
 from chiveworks.placement._orders import DeadlineFair, Fifo
 from chiveworks.placement._policy import PlacementPolicy, placement_policies
+from chiveworks.placement._pressure import Neighbour, WorkerPressure
+from chiveworks.placement._protection_action import Measure, ProtectionAction
+from chiveworks.placement._protection_policy import ProtectionPolicy
+from chiveworks.placement._protection_settings import ProtectionSettings
 from chiveworks.placement._quarantine import Quarantine
 from chiveworks.placement._queue import QueueOrder, TaskQueue, queue_orders
 from chiveworks.placement._size_estimator import SizeEstimator
@@ -25,8 +29,13 @@
     'Fifo',
     'FirstFit',
     'InterferenceAware',
+    'Measure',
+    'Neighbour',
     'PlacementPolicy',
     'PlacementWeights',
+    'ProtectionAction',
+    'ProtectionPolicy',
+    'ProtectionSettings',
     'Quarantine',
     'QueueOrder',
     'SizeEstimator',
@@ -34,6 +43,7 @@
     'SlowdownEstimator',
     'SlowdownSample',
     'TaskQueue',
+    'WorkerPressure',
     'placement_policies',
     'queue_orders',
 )
--- /dev/null
+++ b/chiveworks/placement/_protection_policy.py
@@ -0,0 +1,140 @@
+"""Protection of services from batch tasks that run beside them."""
+
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chiveworks.base import Clock, TaskId, WorkerId
+from chiveworks.placement._pressure import Neighbour, WorkerPressure
+from chiveworks.placement._protection_action import Measure, ProtectionAction
+from chiveworks.placement._protection_settings import ProtectionSettings
+
+_MINUTE = timedelta(minutes=1)
+
+
+@dataclass
+class _WorkerState:
+    over_since: timedelta | None = None
+    under_since: timedelta | None = None
+    changed_at: timedelta | None = None
+
+
+class ProtectionPolicy:
+    """Throttles step by step, evicts last, and withdraws measures more slowly.
+
+    Args:
+        clock: Source of monotonic time.
+        settings: Thresholds and bounds.
+    """
+
+    def __init__(
+        self, clock: Clock, settings: ProtectionSettings | None = None
+    ) -> None:
+        self.clock = clock
+        self.settings = settings or ProtectionSettings()
+        self._states: dict[WorkerId, _WorkerState] = {}
+        self._evicted_at: dict[TaskId, timedelta] = {}
+        self._recent: deque[timedelta] = deque()
+
+    def decide(self, pressure: WorkerPressure) -> ProtectionAction | None:
+        """Returns the next measure on a worker, None to leave it as it is.
+
+        To be called whenever the worker's latency has been measured; at most
+        one measure is taken at a time.
+        """
+        now = self.clock.monotonic()
+        state = self._states.setdefault(pressure.worker_id, _WorkerState())
+        self._note_ratio(state, pressure.latency_ratio, now)
+        if state.changed_at is not None:
+            if now - state.changed_at < self.settings.step_interval:
+                return None
+        action = self._next_action(state, pressure, now)
+        if action is not None:
+            state.changed_at = now
+        return action
+
+    def forget(self, worker_id: WorkerId) -> None:
+        """Drops the state of a worker that has left."""
+        self._states.pop(worker_id, None)
+
+    def _note_ratio(self, state: _WorkerState, ratio: float, now: timedelta) -> None:
+        is_over = ratio > self.settings.upper
+        is_under = ratio < self.settings.lower
+        state.over_since = _since(is_over, state.over_since, now)
+        state.under_since = _since(is_under, state.under_since, now)
+
+    def _next_action(
+        self, state: _WorkerState, pressure: WorkerPressure, now: timedelta
+    ) -> ProtectionAction | None:
+        if state.over_since is not None:
+            over = now - state.over_since
+            if over < self.settings.patience:
+                return None
+            return self._throttle(pressure) or self._evict(pressure, over, now)
+        if state.under_since is not None:
+            if now - state.under_since >= self.settings.release_after:
+                return self._release(pressure)
+        return None
+
+    def _throttle(self, pressure: WorkerPressure) -> ProtectionAction | None:
+        open_to = [
+            task
+            for task in pressure.neighbours
+            if task.harm > 0 and task.share > self.settings.least_share
+        ]
+        if not open_to:
+            return None
+        worst = max(open_to, key=lambda task: task.harm * task.share)
+        share = max(worst.share / 2, self.settings.least_share)
+        return _throttle_to(pressure.worker_id, worst, share)
+
+    def _release(self, pressure: WorkerPressure) -> ProtectionAction | None:
+        throttled = [task for task in pressure.neighbours if task.share < 1]
+        if not throttled:
+            return None
+        mildest = min(throttled, key=lambda task: task.harm)
+        return _throttle_to(pressure.worker_id, mildest, min(mildest.share * 2, 1))
+
+    def _evict(
+        self, pressure: WorkerPressure, over: timedelta, now: timedelta
+    ) -> ProtectionAction | None:
+        self._drop_old_evictions(now)
+        if over < self.settings.evict_after:
+            return None
+        if len(self._recent) >= self.settings.evictions_per_minute:
+            return None
+        victims = [
+            task
+            for task in pressure.neighbours
+            if task.evictable and task.harm > 0 and task.task_id not in self._evicted_at
+        ]
+        if not victims:
+            return None
+        victim = min(victims, key=lambda task: (task.lost_work, -task.harm))
+        self._evicted_at[victim.task_id] = now
+        self._recent.append(now)
+        return ProtectionAction(
+            Measure.EVICT, pressure.worker_id, victim.task_id, share=0
+        )
+
+    def _drop_old_evictions(self, now: timedelta) -> None:
+        while self._recent and now - self._recent[0] >= _MINUTE:
+            self._recent.popleft()
+        # Entries are in the order of time, so the oldest come first.
+        while self._evicted_at:
+            task_id, at = next(iter(self._evicted_at.items()))
+            if now - at < self.settings.evict_period:
+                return
+            self._evicted_at.pop(task_id)
+
+
+def _since(holds: bool, since: timedelta | None, now: timedelta) -> timedelta | None:
+    if not holds:
+        return None
+    return now if since is None else since
+
+
+def _throttle_to(
+    worker_id: WorkerId, task: Neighbour, share: float
+) -> ProtectionAction:
+    return ProtectionAction(Measure.THROTTLE, worker_id, task.task_id, share)
