Add the HTTP handlers of the catalogue and of zone switches

Cause: operators reach the catalogue through any entry process. Bodies and queries are checked strictly; a conflict carries both revisions and the diff; a lost answer that cannot be settled is 504 with outcome_unknown. A single entry is read from the store, and from the replica while the store is down. Conclusion: a client can tell refused, not run and unknown apart by status.

--- a/chiveworks/catalogue/_editor.py
+++ b/chiveworks/catalogue/_editor.py
@@ -12,13 +12,13 @@
     EntryName,
     Failure,
     Revision,
-    Step,
     Verdict,
     ZoneName,
 )
 from chiveworks.catalogue._edit import Edit, revision_of
 from chiveworks.catalogue._edit_conflict import EditConflict
 from chiveworks.catalogue._entry import CatalogueEntry
+from chiveworks.catalogue._failures import not_run, unreadable, unsettled
 from chiveworks.catalogue._item import ConfigItem
 from chiveworks.catalogue._keys import entry_key, zone_key
 from chiveworks.catalogue._replica import CatalogueReplica
@@ -77,6 +77,16 @@
         proposal = form(nonce=_nonce(), author=author, at=now, document=switch)
         return await self._write(Edit(zone_key(zone), form, expected, proposal))
 
+    async def current(
+        self, name: EntryName
+    ) -> Result[StoredVersion[CatalogueEntry] | None, Failure]:
+        """Reads an entry's latest version from the store; None when absent."""
+        versions = await self.history(name)
+        if isinstance(versions, Err):
+            return versions
+        latest = next(iter(versions.ok_value), None)
+        return Ok(latest if latest and latest.document else None)
+
     async def history(
         self, name: EntryName
     ) -> Result[tuple[StoredVersion[CatalogueEntry], ...], Failure]:
@@ -84,14 +94,14 @@
         answer = await self._store.fetch(entry_key(name))
         if isinstance(answer, Err):
             return answer
-        current = answer.ok_value.first()
-        if current is None:
+        found = answer.ok_value.first()
+        if found is None:
             return Ok(())
         try:
-            stored = StoredValue[CatalogueEntry].model_validate_json(current.value)
+            stored = StoredValue[CatalogueEntry].model_validate_json(found.value)
         except ValidationError:
-            return Err(_unreadable(name))
-        return Ok(stored.versions(current.mod_revision))
+            return Err(unreadable(name))
+        return Ok(stored.versions(found.mod_revision))
 
     async def _write_entry(
         self,
@@ -111,7 +121,7 @@
         read = await self._store.fetch(edit.key)
         if isinstance(read, Err):
             # A failed read has no effect, whatever its own verdict.
-            return Err(_not_run(read.err_value))
+            return Err(not_run(read.err_value))
         current = read.ok_value.first()
         conflict = edit.conflict_with(current)
         if conflict is not None:
@@ -163,41 +173,8 @@
             )
             if isinstance(again, Ok):
                 return again
-        return Err(_unsettled(edit, lost))
-
-
-def _unsettled(
-    edit: Edit[_Document], lost: Failure | StoreConflict
-) -> Failure | EditConflict:
-    if isinstance(lost, StoreConflict):
-        # The store said that nothing was written; only the diff is missing.
-        return EditConflict(lost.key, lost.expected, lost.found, ())
-    return Failure.unknown(
-        Step.STORE_WRITE,
-        lost.peer,
-        f'the answer to the write of {edit.key} was lost and it could not be read '
-        f'back: {lost.message}',
-        'read it back once the store answers, then repeat the change if it is missing',
-    )
-
-
-def _not_run(failure: Failure) -> Failure:
-    return Failure.not_run(
-        failure.step,
-        failure.peer,
-        f'nothing was written, because the store could not be read: {failure.message}',
-        failure.next_step or 'repeat the change once the store answers',
-    )
+        return Err(unsettled(edit, lost))
 
 
 def _nonce() -> str:
     return uuid.uuid4().hex
-
-
-def _unreadable(name: EntryName) -> Failure:
-    return Failure.not_run(
-        Step.STORE_READ,
-        'store',
-        f'the stored value of {name} is not valid; it was written past the catalogue',
-        'apply the entry again to replace it',
-    )
--- /dev/null
+++ b/chiveworks/entry/_catalogue_replies.py
@@ -0,0 +1,122 @@
+"""Answers of the catalogue's HTTP handlers."""
+
+import dataclasses
+from http import HTTPStatus
+
+from aiohttp import web
+from pydantic import BaseModel, JsonValue, ValidationError
+from result import Err, Result
+
+from chiveworks.base import Failure, Revision, Step, Verdict, ZoneName
+from chiveworks.catalogue import (
+    CatalogueEntry,
+    CatalogueReplica,
+    EditConflict,
+    StoredVersion,
+    ZoneState,
+    ZoneSwitch,
+)
+
+
+class RefusedError(Exception):
+    """A request that is answered with an error before anything is done."""
+
+    def __init__(self, status: HTTPStatus, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+
+
+def describe(error: ValidationError) -> str:
+    """Names every field that is wrong."""
+    return '; '.join(
+        f'{".".join(map(str, problem["loc"])) or "body"}: {problem["msg"]}'
+        for problem in error.errors()
+    )
+
+
+def edit_response(edit: Result[Revision, Failure | EditConflict]) -> web.Response:
+    """Answers a change with its revision, a conflict or a failure."""
+    if not isinstance(edit, Err):
+        return web.json_response({'revision': edit.ok_value})
+    refused = edit.err_value
+    if isinstance(refused, Failure):
+        return failure_response(refused)
+    message = (
+        f'{refused.key} is at revision {refused.found}, '
+        f'the change is based on {refused.expected}'
+    )
+    failure = Failure.not_run(
+        Step.STORE_WRITE, 'store', message, 'merge the diff and apply the change again'
+    )
+    return _error(
+        HTTPStatus.CONFLICT,
+        failure,
+        reason='conflict',
+        revision=refused.found,
+        expected=refused.expected,
+        diff=[dataclasses.asdict(change) for change in refused.diff],
+    )
+
+
+def failure_response(failure: Failure) -> web.Response:
+    """Answers 504 when the outcome is unknown, otherwise 503."""
+    if failure.verdict is Verdict.OUTCOME_UNKNOWN:
+        return _error(HTTPStatus.GATEWAY_TIMEOUT, failure)
+    response = _error(HTTPStatus.SERVICE_UNAVAILABLE, failure)
+    response.headers['Retry-After'] = '1'
+    return response
+
+
+def refusal(refused: RefusedError) -> web.Response:
+    """Answers a request that was not valid."""
+    failure = Failure.not_run(Step.VALIDATE, '', str(refused), 'correct the request')
+    return _error(refused.status, failure, reason=refused.reason)
+
+
+def invalid(message: str) -> web.Response:
+    """Answers 400."""
+    return refusal(RefusedError(HTTPStatus.BAD_REQUEST, 'invalid', message))
+
+
+def not_found(message: str) -> web.Response:
+    """Answers 404."""
+    failure = Failure.not_run(Step.RESOLVE, '', message, 'check the name')
+    return _error(HTTPStatus.NOT_FOUND, failure, reason='not_found')
+
+
+def _error(status: HTTPStatus, failure: Failure, **extra: JsonValue) -> web.Response:
+    fields = dataclasses.asdict(failure)
+    return web.json_response({'error': fields, **extra}, status=status)
+
+
+def plain(document: BaseModel) -> dict[str, JsonValue]:
+    """Returns a document as JSON fields."""
+    fields: dict[str, JsonValue] = document.model_dump(mode='json')
+    return fields
+
+
+def plain_version(version: StoredVersion[CatalogueEntry]) -> dict[str, JsonValue]:
+    """Returns a version as JSON fields; `entry` is null after a deletion."""
+    return {
+        'revision': version.revision,
+        'author': version.author,
+        'at': version.at.isoformat(),
+        'entry': plain(version.document) if version.document else None,
+    }
+
+
+def plain_zone(
+    name: ZoneName, switch: ZoneSwitch | None, replica: CatalogueReplica
+) -> dict[str, JsonValue]:
+    """Returns a zone as JSON fields; one never switched is in service."""
+    if switch is None:
+        fields: dict[str, JsonValue] = {
+            'state': ZoneState.IN_SERVICE.value,
+            'author': '',
+            'reason': '',
+            'since': None,
+        }
+    else:
+        fields = plain(switch)
+    return {'name': name, 'revision': replica.zone_revision(name), **fields}
--- /dev/null
+++ b/chiveworks/entry/_catalogue_routes.py
@@ -0,0 +1,213 @@
+"""HTTP handlers of the catalogue and of the zones' switches."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Annotated, Final
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err
+
+from chiveworks.base import EntryName, Revision, ZoneName
+from chiveworks.catalogue import (
+    CatalogueEditor,
+    CatalogueEntry,
+    CatalogueReplica,
+    EditConflict,
+    ZoneState,
+)
+from chiveworks.entry._catalogue_replies import (
+    RefusedError,
+    describe,
+    edit_response,
+    failure_response,
+    invalid,
+    not_found,
+    plain,
+    plain_version,
+    plain_zone,
+    refusal,
+)
+
+_ENTRY_PATH: Final = '/v1/catalogue/{name}'
+_AUTHOR_LENGTH: Final = 200
+_REASON_LENGTH: Final = 1000
+
+
+class _ZoneChange(BaseModel):
+    model_config = ConfigDict(strict=True, extra='forbid')
+
+    state: ZoneState
+    reason: Annotated[str, Field(max_length=_REASON_LENGTH)] = ''
+
+
+def add_catalogue_routes(
+    app: web.Application,
+    editor: CatalogueEditor,
+    replica: CatalogueReplica,
+    zones: Iterable[ZoneName] = (),
+) -> None:
+    """Adds the catalogue and zone endpoints to an application.
+
+    Args:
+        app: The application.
+        editor: Writes changes.
+        replica: Answers reads that need not be the latest.
+        zones: Zones that exist. When given, other names are refused.
+    """
+    routes = _CatalogueRoutes(editor, replica, tuple(zones))
+    app.add_routes(
+        [
+            web.get('/v1/catalogue', routes.list_entries),
+            web.get(_ENTRY_PATH, routes.get_entry),
+            web.put(_ENTRY_PATH, routes.put_entry),
+            web.delete(_ENTRY_PATH, routes.delete_entry),
+            web.get(f'{_ENTRY_PATH}/history', routes.get_history),
+            web.get('/v1/zones', routes.list_zones),
+            web.put('/v1/zones/{name}', routes.put_zone),
+        ]
+    )
+
+
+class _CatalogueRoutes:
+    def __init__(
+        self,
+        editor: CatalogueEditor,
+        replica: CatalogueReplica,
+        zones: tuple[ZoneName, ...],
+    ) -> None:
+        self._editor = editor
+        self._replica = replica
+        self._zones = zones
+
+    async def list_entries(self, _request: web.Request) -> web.Response:
+        entries = self._replica.entries()
+        return web.json_response(
+            {
+                'revision': self._replica.revision,
+                'entries': [plain(entry) for entry in entries],
+                'revisions': {
+                    entry.name: self._replica.entry_revision(entry.name)
+                    for entry in entries
+                },
+            }
+        )
+
+    async def get_entry(self, request: web.Request) -> web.Response:
+        name = EntryName(request.match_info['name'])
+        latest = await self._editor.current(name)
+        if isinstance(latest, Err):
+            # The replica answers while the store does not.
+            entry, revision = (
+                self._replica.entry(name),
+                self._replica.entry_revision(name),
+            )
+        else:
+            version = latest.ok_value
+            entry = version.document if version else None
+            revision = version.revision if version else Revision(0)
+        if entry is None:
+            return not_found(f'there is no catalogue entry {name}')
+        return web.json_response({'entry': plain(entry), 'revision': revision})
+
+    async def put_entry(self, request: web.Request) -> web.Response:
+        try:
+            entry = CatalogueEntry.model_validate_json(await _read_body(request))
+            if entry.name != request.match_info['name']:
+                return invalid(
+                    f'the path and the body name different entries: {entry.name}'
+                )
+            expected, author = _expected(request), _author(request)
+        except ValidationError as error:
+            return invalid(describe(error))
+        except RefusedError as refused:
+            return refusal(refused)
+        return edit_response(await self._editor.apply(entry, expected, author))
+
+    async def delete_entry(self, request: web.Request) -> web.Response:
+        name = EntryName(request.match_info['name'])
+        try:
+            expected, author = _expected(request), _author(request)
+        except RefusedError as refused:
+            return refusal(refused)
+        outcome = await self._editor.delete(name, expected, author)
+        refused_edit = outcome.err()
+        if isinstance(refused_edit, EditConflict) and not refused_edit.found:
+            return not_found(f'there is no catalogue entry {name}')
+        return edit_response(outcome)
+
+    async def get_history(self, request: web.Request) -> web.Response:
+        name = EntryName(request.match_info['name'])
+        history = await self._editor.history(name)
+        if isinstance(history, Err):
+            return failure_response(history.err_value)
+        if not history.ok_value:
+            return not_found(f'there was never a catalogue entry {name}')
+        versions = [plain_version(version) for version in history.ok_value]
+        return web.json_response({'versions': versions})
+
+    async def list_zones(self, _request: web.Request) -> web.Response:
+        switches = self._replica.zone_switches()
+        names = sorted({*self._zones, *switches})
+        return web.json_response(
+            {
+                'zones': [
+                    plain_zone(name, switches.get(name), self._replica)
+                    for name in names
+                ]
+            }
+        )
+
+    async def put_zone(self, request: web.Request) -> web.Response:
+        zone = ZoneName(request.match_info['name'])
+        if self._zones and zone not in self._zones:
+            known = ', '.join(self._zones)
+            return not_found(f'there is no availability zone {zone}; known: {known}')
+        try:
+            change = _ZoneChange.model_validate_json(await _read_body(request))
+            author = _author(request)
+            expected = _expected(request) if 'expected' in request.query else None
+        except ValidationError as error:
+            return invalid(describe(error))
+        except RefusedError as refused:
+            return refusal(refused)
+        return edit_response(
+            await self._editor.set_zone(
+                zone, change.state, author, change.reason, expected
+            )
+        )
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise RefusedError(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            'too_large',
+            'the body is larger than the limit body_bytes',
+        ) from error
+
+
+def _expected(request: web.Request) -> Revision:
+    text = request.query.get('expected', '')
+    # Longer numbers are no revisions, and int() refuses very long ones.
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
+        raise RefusedError(
+            HTTPStatus.BAD_REQUEST,
+            'invalid',
+            'the query needs expected=REVISION, the revision that the change is '
+            f'based on (0 to create), got {text!r}',
+        )
+    return Revision(int(text))
+
+
+def _author(request: web.Request) -> str:
+    author = request.query.get('author', '').strip()
+    if not author or len(author) > _AUTHOR_LENGTH:
+        raise RefusedError(
+            HTTPStatus.BAD_REQUEST,
+            'invalid',
+            f'the query needs author=NAME of 1 to {_AUTHOR_LENGTH} characters',
+        )
+    return author
