--- a/chiveworks/scheduler/_job_registrar.py
+++ b/chiveworks/scheduler/_job_registrar.py
@@ -4,21 +4,18 @@
 import logging
 from collections.abc import Callable
 
-from numpy.random import Generator
 from result import Err, Ok, Result
 
-from chiveworks.base import Clock, Failure, JobId, Revision, Step, Verdict
-from chiveworks.catalogue import CatalogueEntry, CatalogueReplica, Priority
+from chiveworks.base import Failure, JobId, Revision, Step, Verdict
+from chiveworks.catalogue import CatalogueEntry, Priority
 from chiveworks.jobs import (
     JobAccepted,
     JobCancelled,
     JobDropped,
     JobRecord,
-    JobStore,
     StoredJob,
     TaskRecord,
     TaskSpec,
-    TaskTable,
     content_digest_of,
     job_id_of,
     task_id_of,
@@ -31,9 +28,8 @@
     JobView,
     ShardFailure,
 )
-from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_lost_error import ShardLostError
-from chiveworks.scheduler._tenure import Tenure
 from chiveworks.store import StoreConflict
 
 _LOG = logging.getLogger(__name__)
@@ -51,22 +47,16 @@
 
     def __init__(
         self,
-        tenure: Tenure,
-        table: TaskTable,
-        ledger: Ledger,
-        job_store: JobStore,
-        replica: CatalogueReplica,
-        clock: Clock,
-        random: Generator,
+        context: ShardContext,
         on_cancel: Callable[[JobRecord], None],
     ) -> None:
-        self._tenure = tenure
-        self._table = table
-        self._ledger = ledger
-        self._job_store = job_store
-        self._replica = replica
-        self._clock = clock
-        self._random = random
+        self._tenure = context.tenure
+        self._table = context.table
+        self._ledger = context.ledger
+        self._job_store = context.job_store
+        self._replica = context.replica
+        self._clock = context.clock
+        self._random = context.random
         self._on_cancel = on_cancel
 
     async def register(
--- a/chiveworks/scheduler/_override_records.py
+++ b/chiveworks/scheduler/_override_records.py
@@ -1,6 +1,7 @@
 """Records of manual overrides found in reports."""
 
 from datetime import datetime
+from types import MappingProxyType
 
 from chiveworks.base import EntryName, Resources, WorkerId
 from chiveworks.jobs import OverrideRecord, TaskRecord, TaskSpec
@@ -58,9 +59,11 @@
     )
 
 
-_DETAILS = {
-    OverrideKind.STOPPED: 'stopped by hand on {worker}',
-    OverrideKind.MOVED: 'runs on {worker}, where nobody claimed it',
-    OverrideKind.RESIZED: 'holds {allotted} on {worker}',
-    OverrideKind.UNCLAIMED: 'runs on {worker} and belongs to no job of this zone',
-}
+_DETAILS = MappingProxyType(
+    {
+        OverrideKind.STOPPED: 'stopped by hand on {worker}',
+        OverrideKind.MOVED: 'runs on {worker}, where nobody claimed it',
+        OverrideKind.RESIZED: 'holds {allotted} on {worker}',
+        OverrideKind.UNCLAIMED: 'runs on {worker} and belongs to no job of this zone',
+    }
+)
--- a/chiveworks/scheduler/_override_resolver.py
+++ b/chiveworks/scheduler/_override_resolver.py
@@ -5,13 +5,12 @@
 from result import Err, Ok, Result
 
 from chiveworks.base import Failure, Step, Verdict, WorkerId
-from chiveworks.catalogue import CatalogueEditor, CatalogueReplica
+from chiveworks.catalogue import CatalogueEditor
 from chiveworks.jobs import (
     OverrideClosed,
     OverrideRecord,
     TaskReleased,
     TaskResized,
-    TaskTable,
 )
 from chiveworks.membership import (
     FailureReason,
@@ -22,8 +21,7 @@
     ShardFailure,
     TaskState,
 )
-from chiveworks.scheduler._ledger import Ledger
-from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._worker_session import WorkerSession
 
 
@@ -39,17 +37,14 @@
 
     def __init__(
         self,
-        tenure: Tenure,
-        table: TaskTable,
-        ledger: Ledger,
-        replica: CatalogueReplica,
+        context: ShardContext,
         editor: CatalogueEditor,
         sessions: Mapping[WorkerId, WorkerSession],
     ) -> None:
-        self._tenure = tenure
-        self._table = table
-        self._ledger = ledger
-        self._replica = replica
+        self._tenure = context.tenure
+        self._table = context.table
+        self._ledger = context.ledger
+        self._replica = context.replica
         self._editor = editor
         self._sessions = sessions
 
--- a/chiveworks/scheduler/_reconcile.py
+++ b/chiveworks/scheduler/_reconcile.py
@@ -178,23 +178,26 @@
         job = self._table.job_of(task.task_id)
         if start is not None and start.attempt != task.attempt:
             start = None
-        if start is not None and start.phase is StartPhase.CLAIMING:
+        if start is not None and self._may_still_start(report, start):
             return
         if report.boot_id != task.boot_id:
             reason = f'worker {report.worker} restarted'
             outcome.changes.append(attempt_end.lost(job, task, reason))
-        elif start is None or start.phase is StartPhase.SENT:
-            # A former owner's start is refused from now on: the worker has seen
-            # this owner's epoch. An own start is refused once its ticket is old.
-            age_ms = report.ticket - start.ticket if start else None
-            if age_ms is not None and age_ms <= self._ticket_max_age_ms:
-                return
-            outcome.changes.append(attempt_end.never_started(job, task))
-        else:
+        elif start is not None and start.phase is StartPhase.CONFIRMED:
             reason = f'worker {report.worker} no longer lists the task'
             outcome.changes.append(attempt_end.lost(job, task, reason))
+        else:
+            # A former owner's start is refused from now on: the worker has seen
+            # this owner's epoch. An own start is refused for its old ticket.
+            outcome.changes.append(attempt_end.never_started(job, task))
         outcome.gone.append(task.task_id)
 
+    def _may_still_start(self, report: WorkerReport, start: StartTrack) -> bool:
+        """Tells whether the start has yet to be sent or may yet arrive."""
+        if start.phase is StartPhase.SENT:
+            return report.ticket - start.ticket <= self._ticket_max_age_ms
+        return start.phase is StartPhase.CLAIMING
+
     def _close_ended_overrides(
         self, report: WorkerReport, outcome: Reconciliation
     ) -> None:
@@ -203,11 +206,11 @@
             for one in report.tasks
             if not one.state.ended
         }
-        for override in self._table.overrides.values():
-            is_here = override.worker == report.worker
-            if is_here and override.kind is OverrideKind.UNCLAIMED:
-                if override.override_id not in running:
-                    outcome.changes.append(OverrideClosed(override.override_id))
+        for override_id, override in self._table.overrides.items():
+            is_unclaimed = override.kind is OverrideKind.UNCLAIMED
+            is_here = is_unclaimed and override.worker == report.worker
+            if is_here and override_id not in running:
+                outcome.changes.append(OverrideClosed(override_id))
 
 
 def _compare_former(task_report: TaskReport, outcome: Reconciliation) -> None:
--- /dev/null
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -0,0 +1,136 @@
+"""Sessions with the workers of a shard, and what follows from their reports."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from chiveworks.base import Attempt, Failure, TaskId, WorkerId
+from chiveworks.instances import Instance
+from chiveworks.jobs import TaskRecord
+from chiveworks.membership import TaskState
+from chiveworks.scheduler import _attempt_end as attempt_end
+from chiveworks.scheduler._background import Background
+from chiveworks.scheduler._reconcile import Reconciler
+from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.scheduler._shard_lost_error import ShardLostError
+from chiveworks.scheduler._worker_session import WorkerSession
+from chiveworks.workers import Refusal, RefusalReason, WorkerReport
+
+_LOG = logging.getLogger(__name__)
+
+
+class SessionKeeper:
+    """Opens a session for each worker and turns reports into changes."""
+
+    def __init__(
+        self,
+        context: ShardContext,
+        reconciler: Reconciler,
+        background: Background,
+        open_session: Callable[[Instance], WorkerSession],
+        list_workers: Callable[[], tuple[Instance, ...]],
+    ) -> None:
+        self.sessions: dict[WorkerId, WorkerSession] = {}
+        self._context = context
+        self._reconciler = reconciler
+        self._background = background
+        self._open_session = open_session
+        self._list_workers = list_workers
+        self._running: dict[WorkerId, asyncio.Task[None]] = {}
+
+    def update(self) -> None:
+        """Opens sessions for new workers; closes those gone and unused."""
+        listed = {
+            WorkerId(instance.instance_id): instance
+            for instance in self._list_workers()
+        }
+        in_use = set(self._context.table.workers_in_use())
+        for worker, instance in listed.items():
+            if worker in self.sessions:
+                self.sessions[worker].instance = instance
+            else:
+                self._add(self._open_session(instance))
+        for worker in self.sessions.keys() - listed.keys() - in_use:
+            self.sessions.pop(worker)
+            self._running.pop(worker).cancel()
+        self._end_tasks_of_unlisted(in_use - self.sessions.keys())
+
+    async def stop_task(self, task: TaskRecord, *, checkpoint: bool) -> None:
+        """Asks a task's worker to stop it, unless it was asked just now."""
+        session = self.sessions.get(task.worker)
+        if session is None or not session.is_stop_due(task.task_id):
+            return
+        task.state = TaskState.STOPPING
+        stopped = await session.stop(task.task_id, task.attempt, checkpoint=checkpoint)
+        if isinstance(stopped, Err):
+            _check_epoch(stopped.err_value)
+            return
+        # The report that confirms the end is fetched at once.
+        renewed = await session.renew()
+        if isinstance(renewed, Ok):
+            self._on_report(session, renewed.ok_value)
+
+    def _add(self, session: WorkerSession) -> None:
+        self.sessions[session.worker] = session
+        self._running[session.worker] = self._background.start(
+            session.run(self._on_report, self._on_failure, self._is_busy)
+        )
+
+    def _is_busy(self, session: WorkerSession) -> bool:
+        return bool(self._context.table.active_on(session.worker))
+
+    def _on_report(self, session: WorkerSession, report: WorkerReport) -> None:
+        outcome = self._reconciler.reconcile(
+            report, session.starts, self._context.clock.now()
+        )
+        for task_id in outcome.gone:
+            session.starts.pop(task_id, None)
+            session.stops.pop(task_id, None)
+        for task_id, attempt in outcome.stale:
+            self._background.start(_stop_stale(session, task_id, attempt))
+        if outcome.changes or outcome.acknowledge:
+            self._context.ledger.commit(*outcome.changes)
+            self._background.start(self._acknowledge(session, outcome.acknowledge))
+
+    def _on_failure(self, session: WorkerSession, error: Failure | Refusal) -> None:
+        """Handles a renewal that failed."""
+        _check_epoch(error)
+        if session.attempted_after_lapse:
+            reason = f'worker {session.worker} is silent and its lease lapsed'
+            self._lose_tasks(session.worker, reason)
+
+    def _end_tasks_of_unlisted(self, workers: set[WorkerId]) -> None:
+        """Ends tasks of workers that vanished before this owner met them."""
+        timings = self._context.timings
+        bound = self._context.tenure.started + timings.first_lease_bound
+        if self._context.clock.monotonic() > bound:
+            for worker in workers:
+                self._lose_tasks(worker, f'worker {worker} is no longer listed')
+
+    def _lose_tasks(self, worker: WorkerId, reason: str) -> None:
+        for task in self._context.table.active_on(worker):
+            job = self._context.table.job_of(task.task_id)
+            self._context.ledger.commit(attempt_end.lost(job, task, reason))
+            _LOG.warning(reason, extra={'job': job.job_id, 'peer': worker})
+
+    async def _acknowledge(
+        self, session: WorkerSession, ended: list[tuple[TaskId, Attempt]]
+    ) -> None:
+        # The worker may forget an end only once the journal has it.
+        await asyncio.shield(self._context.ledger.barrier())
+        for task_id, attempt in ended:
+            session.acknowledge(task_id, attempt)
+
+
+async def _stop_stale(
+    session: WorkerSession, task_id: TaskId, attempt: Attempt
+) -> None:
+    _LOG.warning('stopping attempt %d of %s, which is not current', attempt, task_id)
+    await session.stop(task_id, attempt, checkpoint=False)
+
+
+def _check_epoch(error: Failure | Refusal) -> None:
+    if isinstance(error, Refusal) and error.reason is RefusalReason.STALE_EPOCH:
+        raise ShardLostError(f'a worker has seen epoch {error.epoch}')
--- /dev/null
+++ b/chiveworks/scheduler/_shard_context.py
@@ -0,0 +1,40 @@
+"""What all parts of a shard's scheduling share during one tenure."""
+
+from dataclasses import dataclass
+
+from numpy.random import Generator
+
+from chiveworks.base import Clock
+from chiveworks.catalogue import CatalogueReplica
+from chiveworks.jobs import JobStore, TaskTable
+from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._timings import SchedulerTimings
+from chiveworks.store import Store
+
+
+@dataclass(frozen=True, slots=True)
+class ShardContext:
+    """State and services of one tenure.
+
+    Attributes:
+        tenure: Owner, epoch and zone.
+        table: The shard's state.
+        ledger: The only way to change the table.
+        store: The platform's store.
+        job_store: Job records in the store.
+        replica: This process's copy of the configuration.
+        clock: Source of time.
+        random: Source of random numbers.
+        timings: Periods and limits.
+    """
+
+    tenure: Tenure
+    table: TaskTable
+    ledger: Ledger
+    store: Store
+    job_store: JobStore
+    replica: CatalogueReplica
+    clock: Clock
+    random: Generator
+    timings: SchedulerTimings
--- a/chiveworks/scheduler/_start_round.py
+++ b/chiveworks/scheduler/_start_round.py
@@ -15,20 +15,18 @@
     Verdict,
     WorkerId,
 )
-from chiveworks.catalogue import CatalogueReplica, ConfigItem, zone_key
-from chiveworks.jobs import TaskClaimed, TaskRecord, TaskTable
+from chiveworks.catalogue import ConfigItem, zone_key
+from chiveworks.jobs import TaskClaimed, TaskRecord
 from chiveworks.membership import TaskState
 from chiveworks.placement import Demand, PlacementPolicy, Quarantine
 from chiveworks.scheduler import _attempt_end as attempt_end
 from chiveworks.scheduler._fleet import Fleet
-from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_lost_error import ShardLostError
 from chiveworks.scheduler._start_phase import StartPhase
 from chiveworks.scheduler._start_track import StartTrack
-from chiveworks.scheduler._tenure import Tenure
 from chiveworks.scheduler._work_queue import WorkQueue
 from chiveworks.scheduler._worker_session import WorkerSession
-from chiveworks.store import Store
 from chiveworks.workers import Refusal, RefusalReason, StartOrder
 
 _LOG = logging.getLogger(__name__)
@@ -57,25 +55,21 @@
 
     def __init__(
         self,
-        tenure: Tenure,
-        table: TaskTable,
-        ledger: Ledger,
+        context: ShardContext,
         queue: WorkQueue,
         fleet: Fleet,
         policy: PlacementPolicy,
         quarantine: Quarantine,
-        store: Store,
-        replica: CatalogueReplica,
     ) -> None:
-        self._tenure = tenure
-        self._table = table
-        self._ledger = ledger
+        self._tenure = context.tenure
+        self._table = context.table
+        self._ledger = context.ledger
+        self._store = context.store
+        self._replica = context.replica
         self._queue = queue
         self._fleet = fleet
         self._policy = policy
         self._quarantine = quarantine
-        self._store = store
-        self._replica = replica
 
     async def run(self, sessions: dict[WorkerId, WorkerSession]) -> int:
         """Runs one round; returns the number of confirmed starts.
--- a/chiveworks/scheduler/_timings.py
+++ b/chiveworks/scheduler/_timings.py
@@ -42,3 +42,11 @@
         covers clocks that run at different speeds.
         """
         return self.worker_lease * 1.05 + timedelta(milliseconds=500)
+
+    @property
+    def first_lease_bound(self) -> timedelta:
+        """Time a new owner waits for workers that it cannot reach.
+
+        A former owner without contact to the store renews leases this long.
+        """
+        return self.store_outage_tolerance + self.lease_bound
--- a/chiveworks/scheduler/_work_queue.py
+++ b/chiveworks/scheduler/_work_queue.py
@@ -3,9 +3,20 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from chiveworks import jobs
 from chiveworks.base import Clock, ServiceClass, TaskId
-from chiveworks.jobs import JobRecord, TaskRecord, TaskTable
+from chiveworks.jobs import (
+    JobAccepted,
+    JobCancelled,
+    JobMoving,
+    JobRecord,
+    JobStayed,
+    JobUnschedulable,
+    TaskEnded,
+    TaskMoved,
+    TaskRecord,
+    TaskReleased,
+    TaskTable,
+)
 from chiveworks.membership import TaskState
 from chiveworks.placement import Demand, TaskQueue
 
@@ -50,27 +61,27 @@
         """Follows a change that was applied to the table."""
 
     @observe.register
-    def _job_accepted(self, change: jobs.JobAccepted) -> None:
+    def _job_accepted(self, change: JobAccepted) -> None:
         self._push_waiting(change.job)
 
     @observe.register
-    def _job_cancelled(self, change: jobs.JobCancelled) -> None:
+    def _job_cancelled(self, change: JobCancelled) -> None:
         self._withdraw(self._table.jobs[change.job_id])
 
     @observe.register
-    def _job_unschedulable(self, change: jobs.JobUnschedulable) -> None:
+    def _job_unschedulable(self, change: JobUnschedulable) -> None:
         self._withdraw(self._table.jobs[change.job_id])
 
     @observe.register
-    def _job_moving(self, change: jobs.JobMoving) -> None:
+    def _job_moving(self, change: JobMoving) -> None:
         self._withdraw(self._table.jobs[change.job_id])
 
     @observe.register
-    def _job_stayed(self, change: jobs.JobStayed) -> None:
+    def _job_stayed(self, change: JobStayed) -> None:
         self._push_waiting(self._table.jobs[change.job_id])
 
     @observe.register
-    def _task_ended(self, change: jobs.TaskEnded) -> None:
+    def _task_ended(self, change: TaskEnded) -> None:
         demand = self._demands.pop(change.task_id, None)
         if demand is not None:
             self._queue.ended(demand)
@@ -79,13 +90,13 @@
             self._push(job, self._table.tasks[change.task_id])
 
     @observe.register
-    def _task_released(self, change: jobs.TaskReleased) -> None:
+    def _task_released(self, change: TaskReleased) -> None:
         if change.state is TaskState.QUEUED:
             job = self._table.job_of(change.task_id)
             self._push(job, self._table.tasks[change.task_id])
 
     @observe.register
-    def _task_moved(self, change: jobs.TaskMoved) -> None:
+    def _task_moved(self, change: TaskMoved) -> None:
         if change.task_id not in self._demands:
             job = self._table.job_of(change.task_id)
             task = self._table.tasks[change.task_id]
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -46,6 +46,7 @@
         self.report: WorkerReport | None = None
         self.starts: dict[TaskId, StartTrack] = {}
         self.stops: dict[TaskId, timedelta] = {}
+        self.attempted_after_lapse = False
         self._control = control
         self._tenure = tenure
         self._clock = clock
@@ -70,11 +71,6 @@
         """
         return any(one.phase is StartPhase.SENT for one in self.starts.values())
 
-    @property
-    def has_lapsed(self) -> bool:
-        """Whether every lease on the worker has certainly lapsed."""
-        return self._clock.monotonic() > self._lease_end
-
     @property
     def ticket_age(self) -> timedelta:
         """Time since the last ticket was received."""
@@ -87,19 +83,19 @@
     async def run(
         self,
         on_report: Callable[['WorkerSession', WorkerReport], None],
-        on_silence: Callable[['WorkerSession'], None],
+        on_failure: Callable[['WorkerSession', Failure | Refusal], None],
         is_busy: Callable[['WorkerSession'], bool],
     ) -> None:
         """Renews the lease periodically; never ends by itself."""
         while True:
-            began = self._clock.monotonic()
+            # Only an attempt that began after the bound counts: this process
+            # may have been paused, and the worker may have news.
+            self.attempted_after_lapse = self._clock.monotonic() > self._lease_end
             renewed = await self.renew()
             if isinstance(renewed, Ok):
                 on_report(self, renewed.ok_value)
-            elif began > self._lease_end:
-                # Only an attempt that began after the bound counts: this process
-                # may have been paused, and the worker may have news.
-                on_silence(self)
+            else:
+                on_failure(self, renewed.err_value)
             period = self._timings.worker_renew
             if not is_busy(self) and isinstance(renewed, Ok):
                 period = self._timings.idle_worker_renew
--- a/chiveworks/scheduler/_zone_departure.py
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -3,24 +3,19 @@
 import logging
 from typing import Protocol
 
-from numpy.random import Generator
 from result import Err, Result
 
 from chiveworks.base import Failure, JobId, ZoneName
-from chiveworks.catalogue import CatalogueReplica
 from chiveworks.jobs import (
     JobAccepted,
     JobDropped,
     JobMoving,
     JobRecord,
     JobStayed,
-    JobStore,
     TaskRecord,
-    TaskTable,
 )
 from chiveworks.membership import JobTransfer, JobView, TaskState
-from chiveworks.scheduler._ledger import Ledger
-from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.store import StoreConflict
 
 _LOG = logging.getLogger(__name__)
@@ -46,23 +41,18 @@
 
     def __init__(
         self,
-        tenure: Tenure,
-        table: TaskTable,
-        ledger: Ledger,
-        job_store: JobStore,
-        replica: CatalogueReplica,
+        context: ShardContext,
         caller: TransferCaller,
         zones: tuple[ZoneName, ...],
-        random: Generator,
     ) -> None:
-        self._tenure = tenure
-        self._table = table
-        self._ledger = ledger
-        self._job_store = job_store
-        self._replica = replica
+        self._tenure = context.tenure
+        self._table = context.table
+        self._ledger = context.ledger
+        self._job_store = context.job_store
+        self._replica = context.replica
+        self._random = context.random
         self._caller = caller
         self._zones = zones
-        self._random = random
 
     @property
     def is_leaving(self) -> bool:
