--- a/chiveworks/instances/__init__.py
+++ b/chiveworks/instances/__init__.py
@@ -1,5 +1,6 @@
 """The platform's list of instances."""
 
+from chiveworks.instances._http_instance_list import HttpInstanceList
 from chiveworks.instances._instance import Instance
 from chiveworks.instances._instance_list import InstanceList
 from chiveworks.instances._role import InstanceRole
@@ -7,6 +8,7 @@
 from chiveworks.instances._state import InstanceState
 
 __all__ = (
+    'HttpInstanceList',
     'Instance',
     'InstanceList',
     'InstanceRole',
--- /dev/null
+++ b/chiveworks/instances/_http_instance_list.py
@@ -0,0 +1,132 @@
+"""The platform's instance list over HTTP with JSON bodies."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from aiohttp import ClientSession
+from result import Err, Ok, Result
+
+from chiveworks.base import EntryName, Failure, RackName, Resources, Step, ZoneName
+from chiveworks.base._http_answer import HttpAnswer
+from chiveworks.base._http_caller import HttpCaller
+from chiveworks.instances._instance import Instance
+from chiveworks.instances._role import InstanceRole
+from chiveworks.instances._snapshot import InstanceSnapshot
+from chiveworks.instances._state import InstanceState
+
+_OK = 200
+_UNCHANGED = 204
+_MILLISECOND = timedelta(milliseconds=1)
+_BROKEN = (KeyError, TypeError, ValueError)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpInstanceList:
+    """Implements `InstanceList`.
+
+    Attributes:
+        session: Session that the owner of the process closes.
+        base_url: URL of the list.
+        timeout: Limit of a registration, and of a poll past its wait.
+        connect_timeout: Limit of the wait for a connection.
+    """
+
+    session: ClientSession
+    base_url: str
+    timeout: timedelta = timedelta(seconds=1)
+    connect_timeout: timedelta = timedelta(milliseconds=500)
+
+    async def poll(
+        self, after_revision: int, wait: timedelta
+    ) -> Result[InstanceSnapshot | None, Failure]:
+        """Waits up to `wait` for a list newer than `after_revision`."""
+        query = {'after': str(after_revision), 'wait_ms': str(wait // _MILLISECOND)}
+        caller = self._caller()
+        sent = await caller.call(
+            'GET',
+            '/v1/instances',
+            Step.RESOLVE,
+            query=query,
+            timeout=wait + self.timeout,
+            writes=False,
+        )
+        if isinstance(sent, Err):
+            return sent
+        if sent.ok_value.status == _UNCHANGED:
+            return Ok(None)
+        try:
+            snapshot = _decode(sent.ok_value)
+        except _BROKEN:
+            return Err(caller.unexpected(sent.ok_value, Step.RESOLVE, writes=False))
+        return Ok(None if snapshot.revision == after_revision else snapshot)
+
+    async def register(self, instance: Instance) -> Result[None, Failure]:
+        """Adds or replaces an instance."""
+        caller = self._caller()
+        sent = await caller.call(
+            'PUT',
+            f'/v1/instances/{instance.instance_id}',
+            Step.REGISTER,
+            body=json.dumps(_encode(instance)).encode(),
+        )
+        if isinstance(sent, Err):
+            return sent
+        if sent.ok_value.status == _OK:
+            return Ok(None)
+        return Err(caller.unexpected(sent.ok_value, Step.REGISTER, writes=True))
+
+    def _caller(self) -> HttpCaller:
+        return HttpCaller(
+            self.session, self.base_url, self.timeout, self.connect_timeout
+        )
+
+
+def _encode(instance: Instance) -> dict[str, object]:
+    return {
+        'id': instance.instance_id,
+        'role': instance.role.value,
+        'zone': instance.zone,
+        'rack': instance.rack,
+        'state': instance.state.value,
+        'control_url': instance.control_url,
+        'serve_url': instance.serve_url,
+        'peer_address': instance.peer_address,
+        'services': instance.services,
+        'cpu_millicores': instance.capacity.cpu_millicores,
+        'memory_bytes': instance.capacity.memory_bytes,
+        'accelerators': instance.capacity.accelerators,
+        'slots': instance.slots,
+        'connections': instance.connections,
+    }
+
+
+def _decode(answer: HttpAnswer) -> InstanceSnapshot:
+    if answer.status != _OK:
+        raise ValueError(answer.status)
+    fields = json.loads(answer.body)
+    instances = tuple(_decode_instance(listed) for listed in fields['instances'])
+    return InstanceSnapshot(int(fields['revision']), instances)
+
+
+def _decode_instance(fields: Mapping[str, Any]) -> Instance:
+    return Instance(
+        instance_id=fields['id'],
+        role=InstanceRole(fields['role']),
+        zone=ZoneName(fields['zone']),
+        rack=RackName(fields.get('rack', '')),
+        state=InstanceState(fields['state']),
+        control_url=fields.get('control_url', ''),
+        serve_url=fields.get('serve_url', ''),
+        peer_address=fields.get('peer_address', ''),
+        services=tuple(EntryName(name) for name in fields.get('services', ())),
+        capacity=Resources(
+            fields.get('cpu_millicores', 0),
+            fields.get('memory_bytes', 0),
+            fields.get('accelerators', 0),
+        ),
+        slots=fields.get('slots', 0),
+        connections=fields.get('connections', 0),
+    )
--- a/chiveworks/workers/__init__.py
+++ b/chiveworks/workers/__init__.py
@@ -1,5 +1,6 @@
 """Control of the platform's workers."""
 
+from chiveworks.workers._http_worker_control import HttpWorkerControl
 from chiveworks.workers._refusal import Refusal, RefusalReason
 from chiveworks.workers._renewal import Renewal
 from chiveworks.workers._start_order import StartOrder
@@ -11,6 +12,7 @@
 from chiveworks.workers._worker_report import WorkerReport
 
 __all__ = (
+    'HttpWorkerControl',
     'Refusal',
     'RefusalReason',
     'Renewal',
