--- /dev/null
+++ b/standins/workers/_serving.py
@@ -0,0 +1,52 @@
+"""The service endpoint of a worker."""
+
+import hashlib
+from collections.abc import Mapping
+
+from aiohttp import web
+
+from standins.workers._site import WorkerSite
+
+_UNAVAILABLE = 503
+_REQUEST_ID = 'X-Request-Id'
+
+
+async def serve(site: WorkerSite, request: web.Request) -> web.Response:
+    """Runs a request in a slot, or refuses it before it has run."""
+    service = request.match_info['service']
+    request_id = request.headers.get(_REQUEST_ID, '')
+    serving = site.worker.table.serving
+    busy = sum(serving.values()) >= site.worker.spec.slots
+    if busy or site.faults.leaving:
+        headers = {'X-Chiveworks-Not-Run': '1', **_headers(site, request_id)}
+        return web.Response(status=_UNAVAILABLE, headers=headers)
+    site.worker.settle()
+    serving[service] += 1
+    try:
+        body = await request.read()
+        await site.run_request(service, request_id, _extra_ms(request))
+    finally:
+        site.worker.settle()
+        serving[service] -= 1
+    answer = {
+        'request_id': request_id,
+        'worker': site.worker.spec.worker_id,
+        'length': len(body),
+        'sha256': hashlib.sha256(body).hexdigest(),
+    }
+    size_bytes = int(request.query.get('size_bytes', '0'))
+    if size_bytes:
+        answer['padding'] = 'x' * size_bytes
+    return web.json_response(answer, headers=_headers(site, request_id))
+
+
+def _headers(site: WorkerSite, request_id: str) -> Mapping[str, str]:
+    headers = {_REQUEST_ID: request_id} if request_id else {}
+    if site.faults.leaving:
+        headers['X-Chiveworks-Leaving'] = '1'
+    return headers
+
+
+def _extra_ms(request: web.Request) -> float:
+    header = request.headers.get('X-Standin-Delay-Ms', '0')
+    return float(request.query.get('delay_ms', header))
