Add routing: endpoint table, policies, ejection, retry budget, dispatcher

Entry processes need to choose endpoints and to report truthfully whether a request ran.

- EndpointTable follows the instance list; announced leaves and zones taken out count at once.
- Dispatcher maps each way to fail through one table (rule).
The HTTP library repeats GET, PUT and DELETE itself when a kept-alive connection breaks; a client middleware turns its errors into AttemptError inside that loop, so nothing is sent twice.

--- a/chiveworks/routing/__init__.py
+++ b/chiveworks/routing/__init__.py
@@ -1,1 +1,39 @@
-"""routing."""
+"""Choice of endpoints, and the way of a request to one of them."""
+
+from chiveworks.routing._answer_stream import AnswerStream
+from chiveworks.routing._attempt_end import AttemptEnd
+from chiveworks.routing._attempt_error import AttemptError
+from chiveworks.routing._dispatcher import Dispatcher
+from chiveworks.routing._endpoint import Endpoint
+from chiveworks.routing._endpoint_table import EndpointTable
+from chiveworks.routing._headers import end_to_end
+from chiveworks.routing._policy import ROUTING_POLICIES, RoutingPolicy
+from chiveworks.routing._request import Request
+from chiveworks.routing._response import Response
+from chiveworks.routing._retry_budget import RetryBudget
+from chiveworks.routing._round_robin import RoundRobin
+from chiveworks.routing._router import Router
+from chiveworks.routing._ruling import Ruling, rule
+from chiveworks.routing._settings import RoutingSettings
+from chiveworks.routing._two_choices import TwoChoices
+
+__all__ = (
+    'AnswerStream',
+    'AttemptEnd',
+    'AttemptError',
+    'Dispatcher',
+    'Endpoint',
+    'EndpointTable',
+    'ROUTING_POLICIES',
+    'Request',
+    'Response',
+    'RetryBudget',
+    'RoundRobin',
+    'Router',
+    'RoutingPolicy',
+    'RoutingSettings',
+    'Ruling',
+    'TwoChoices',
+    'end_to_end',
+    'rule',
+)
--- /dev/null
+++ b/chiveworks/routing/_answer_stream.py
@@ -0,0 +1,57 @@
+"""The rest of a large answer, passed on as it arrives."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+from chiveworks.routing._attempt_end import AttemptEnd
+from chiveworks.routing._attempt_error import AttemptError
+from chiveworks.routing._lease import Lease
+
+
+class AnswerStream:
+    """Iterates over an answer's parts and holds its slot until the end.
+
+    Args:
+        answer: The answer, of which a first part has been read.
+        lease: Released at the end.
+        time_left: Seconds until the request's deadline.
+    """
+
+    def __init__(
+        self,
+        answer: aiohttp.ClientResponse,
+        lease: Lease,
+        time_left: Callable[[], float],
+    ) -> None:
+        self._answer = answer
+        self._lease = lease
+        self._time_left = time_left
+
+    def __aiter__(self) -> 'AnswerStream':
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            async with asyncio.timeout(max(self._time_left(), 0)):
+                part = await self._answer.content.readany()
+        except TimeoutError as error:
+            await self.aclose()
+            raise AttemptError(AttemptEnd.READ_TIMEOUT) from error
+        except (aiohttp.ClientError, OSError) as error:
+            await self.aclose()
+            raise AttemptError(AttemptEnd.TRUNCATED, str(error)) from error
+        except BaseException:
+            await self.aclose()
+            raise
+        if not part:
+            self._answer.release()
+            self._lease.release()
+            raise StopAsyncIteration
+        return part
+
+    async def aclose(self) -> None:
+        """Ends the iteration early; the connection is closed, not reused."""
+        self._answer.close()
+        self._lease.release()
--- /dev/null
+++ b/chiveworks/routing/_dispatcher.py
@@ -0,0 +1,250 @@
+"""Sends requests to endpoints."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import aiohttp
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, Step, Verdict
+from chiveworks.routing._attempt_end import AttemptEnd
+from chiveworks.routing._attempt_error import AttemptError
+from chiveworks.routing._connections import Connections
+from chiveworks.routing._endpoint import TIMEOUTS_TO_PROBE, Endpoint
+from chiveworks.routing._endpoint_table import EndpointTable
+from chiveworks.routing._exchange import Exchange
+from chiveworks.routing._policy import ROUTING_POLICIES
+from chiveworks.routing._request import Request
+from chiveworks.routing._response import Response
+from chiveworks.routing._retry_budget import RetryBudget
+from chiveworks.routing._router import Router
+from chiveworks.routing._ruling import Ruling, rule
+from chiveworks.routing._settings import RoutingSettings
+
+_PROBE_TIMEOUT = timedelta(seconds=2)
+_PROBE_PAUSE = timedelta(seconds=1)
+_TIMEOUTS = frozenset(
+    (
+        AttemptEnd.CONNECT_TIMEOUT,
+        AttemptEnd.ANSWER_TIMEOUT,
+        AttemptEnd.READ_TIMEOUT,
+    )
+)
+
+
+class Dispatcher:
+    """Sends each request to one endpoint, and elsewhere after a failure.
+
+    Args:
+        table: The endpoints.
+        clock: Source of time.
+        settings: Parameters of routing.
+    """
+
+    def __init__(
+        self, table: EndpointTable, clock: Clock, settings: RoutingSettings
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._settings = settings
+        policy = ROUTING_POLICIES.create(settings.policy)
+        self._router = Router(table, policy, clock)
+        self._connections = Connections(settings)
+        self._budget = RetryBudget(settings.retry_share, settings.retry_reserve)
+        self._probes: set[asyncio.Task[None]] = set()
+
+    async def send(self, request: Request) -> Result[Response, Failure]:
+        """Sends a request and returns the answer or why there is none.
+
+        The verdict covers all attempts: "not run" means that none of them ran.
+        """
+        self._budget.deposit()
+        tried: list[Endpoint] = []
+        failure: Failure | None = None
+        while len(tried) < self._settings.attempt_limit:
+            endpoint = await self._next_endpoint(request, tried)
+            if endpoint is None:
+                break
+            tried.append(endpoint)
+            try:
+                return Ok(await self._attempt(request, endpoint, tried))
+            except AttemptError as error:
+                ruling = rule(error.end, request.idempotent)
+                peer = tried[-1].instance.instance_id
+                failure = _combine(failure, _to_failure(ruling, error, peer))
+            if not ruling.may_retry:
+                break
+        return Err(failure or self._no_endpoint(request))
+
+    async def close(self) -> None:
+        """Ends probes and closes all connections."""
+        for probe in self._probes:
+            probe.cancel()
+        await asyncio.gather(*self._probes, return_exceptions=True)
+        await self._connections.close()
+
+    async def release_unused(self) -> None:
+        """Closes connections to endpoints that left; call it after table updates."""
+        self._connections.retire_leaving()
+        await self._connections.close_unused()
+
+    async def _next_endpoint(
+        self, request: Request, tried: list[Endpoint]
+    ) -> Endpoint | None:
+        """Returns where to send the request next, after a wait if it is a retry."""
+        if tried and not await self._may_retry(request, len(tried)):
+            return None
+        return self._router.pick(request.service, tried)
+
+    async def _may_retry(self, request: Request, number: int) -> bool:
+        """Waits before a retry; False when budget or deadline forbid one."""
+        jitter = random.uniform(0, 2)  # noqa: S311 - not for secrets
+        pause = self._settings.backoff_base * 2 ** (number - 1) * jitter
+        if self._clock.monotonic() + pause >= request.deadline:
+            return False
+        if not self._budget.try_spend():
+            return False
+        await self._clock.sleep(pause)
+        return True
+
+    def _no_endpoint(self, request: Request) -> Failure:
+        known = self._table.knows(request.service)
+        text = 'no endpoint has a free slot' if known else 'no endpoint is listed'
+        return Failure.not_run(
+            Step.RESOLVE, request.service, text, 'try again after a short wait'
+        )
+
+    async def _attempt(
+        self, request: Request, endpoint: Endpoint, tried: list[Endpoint]
+    ) -> Response:
+        hedge_after = self._settings.hedge_after
+        if hedge_after is None or not request.idempotent:
+            return await self._exchange(request, endpoint, len(tried))
+        first = asyncio.ensure_future(self._exchange(request, endpoint, len(tried)))
+        racing: set[asyncio.Future[Response]] = {first}
+        try:
+            await asyncio.wait(racing, timeout=hedge_after.total_seconds())
+            if not first.done():
+                other = self._router.pick(request.service, tried)
+                fresh = other is not None and other not in tried
+                if other and fresh and self._budget.try_spend():
+                    tried.append(other)
+                    second = self._exchange(request, other, len(tried))
+                    racing.add(asyncio.ensure_future(second))
+            return await _first_success(racing)
+        finally:
+            await _discard(racing)
+
+    async def _exchange(
+        self, request: Request, endpoint: Endpoint, number: int
+    ) -> Response:
+        started = self._clock.monotonic()
+        limit = request.deadline - started
+        if limit <= timedelta():
+            raise AttemptError(AttemptEnd.CONNECT_TIMEOUT, 'the deadline has passed')
+        if request.idempotent and number < self._settings.attempt_limit:
+            # Leaves time for a retry when the connection has gone silent.
+            limit /= 2
+        lease = self._connections.lease(endpoint)
+        exchange = Exchange(request, lease, self._clock, self._settings)
+        try:
+            response = await exchange.run(limit.total_seconds())
+        except AttemptError as error:
+            self._note_failure(endpoint, error.end, started)
+            raise
+        now = self._clock.monotonic()
+        if response.status >= 500:
+            self._note_failure(endpoint, None, started)
+        else:
+            endpoint.record_answer(now, now - started)
+        return response
+
+    def _note_failure(
+        self, endpoint: Endpoint, end: AttemptEnd | None, started: timedelta
+    ) -> None:
+        now = self._clock.monotonic()
+        if end is AttemptEnd.REFUSED:
+            endpoint.record_refusal(now)
+            return
+        failing = endpoint.record_failure(now, now - started, end in _TIMEOUTS)
+        if endpoint.timeouts >= TIMEOUTS_TO_PROBE:
+            # Two timeouts in a row: the pooled connections may all be silent.
+            endpoint.timeouts = 0
+            self._connections.retire(endpoint)
+            if self._table.start_probe(endpoint):
+                probe = asyncio.ensure_future(self._probe(endpoint))
+                self._probes.add(probe)
+                probe.add_done_callback(self._probes.discard)
+        elif failing:
+            self._table.eject(endpoint)
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        """Asks the endpoint on new connections until it answers anything."""
+        pause = _PROBE_PAUSE
+        while endpoint.probing and not endpoint.leaving:
+            if await self._answers(endpoint):
+                endpoint.end_probe(self._clock.monotonic())
+                return
+            self._connections.retire(endpoint)
+            await self._connections.close_unused()
+            await self._clock.sleep(pause)
+            pause = min(pause * 2, self._settings.ejection_limit)
+
+    async def _answers(self, endpoint: Endpoint) -> bool:
+        lease = self._connections.lease(endpoint)
+        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT.total_seconds())
+        try:
+            async with lease.session.get(
+                endpoint.instance.serve_url, timeout=timeout, allow_redirects=False
+            ):
+                return True
+        except (AttemptError, aiohttp.ClientError, OSError):
+            return False
+        finally:
+            lease.release()
+
+
+def _to_failure(ruling: Ruling, error: AttemptError, peer: str) -> Failure:
+    detail = f': {error.detail}' if error.detail else ''
+    return Failure(ruling.verdict, ruling.step, peer, f'{ruling.message}{detail}')
+
+
+def _combine(earlier: Failure | None, later: Failure) -> Failure:
+    """Returns the failure to report: one with an unknown outcome takes precedence."""
+    if earlier is not None and earlier.verdict is Verdict.OUTCOME_UNKNOWN:
+        return earlier
+    return later
+
+
+async def _first_success(
+    racing: set['asyncio.Future[Response]'],
+) -> Response:
+    pending = set(racing)
+    error: BaseException | None = None
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            problem = attempt.exception()
+            if problem is None:
+                racing.discard(attempt)
+                return attempt.result()
+            # An unknown outcome must not be hidden by an attempt that did not run.
+            if error is None or not _is_unknown(error):
+                error = problem
+    raise error or AttemptError(AttemptEnd.ANSWER_TIMEOUT)
+
+
+def _is_unknown(error: BaseException) -> bool:
+    if not isinstance(error, AttemptError):
+        return True
+    return rule(error.end, idempotent=True).verdict is Verdict.OUTCOME_UNKNOWN
+
+
+async def _discard(racing: set['asyncio.Future[Response]']) -> None:
+    """Cancels attempts that lost and closes their answers."""
+    for attempt in racing:
+        attempt.cancel()
+    for ended in await asyncio.gather(*racing, return_exceptions=True):
+        if isinstance(ended, Response) and ended.rest is not None:
+            await ended.rest.aclose()
--- /dev/null
+++ b/chiveworks/routing/_endpoint_table.py
@@ -0,0 +1,138 @@
+"""All endpoints that this process knows."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from chiveworks.base import Clock, EntryName, ZoneName
+from chiveworks.instances import (
+    Instance,
+    InstanceRole,
+    InstanceSnapshot,
+    InstanceState,
+)
+from chiveworks.routing._endpoint import Endpoint
+from chiveworks.routing._settings import RoutingSettings
+
+
+class EndpointTable:
+    """Endpoints by service and zone, built from the platform's instance list.
+
+    Args:
+        clock: Source of time.
+        settings: Parameters of routing.
+        is_in_service: Tells whether a zone is in service. It is asked at each
+            choice, so a zone taken out gets no new request from then on.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: RoutingSettings,
+        is_in_service: Callable[[ZoneName], bool],
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._is_in_service = is_in_service
+        self._revision = -1
+        self._endpoints: dict[str, Endpoint] = {}
+        self._zones: dict[EntryName, list[tuple[ZoneName, list[Endpoint]]]] = {}
+
+    def update(self, snapshot: InstanceSnapshot) -> None:
+        """Takes over a list; one older than the last is ignored."""
+        if snapshot.revision < self._revision:
+            return
+        self._revision = snapshot.revision
+        listed = {
+            instance.instance_id: instance
+            for instance in snapshot.instances
+            if instance.role is InstanceRole.WORKER and instance.serve_url
+        }
+        for gone in self._endpoints.keys() - listed.keys():
+            self._endpoints.pop(gone).leaving = True
+        for instance in listed.values():
+            self._take_over(instance)
+        self._index()
+
+    def endpoints(self, service: EntryName) -> tuple[Endpoint, ...]:
+        """Returns the service's endpoints that may get work, ejected ones included."""
+        return tuple(endpoint for _, group in self.zones(service) for endpoint in group)
+
+    def zones(self, service: EntryName) -> list[tuple[ZoneName, list[Endpoint]]]:
+        """Returns serving endpoints by zone in service, the nearest zone first."""
+        return [
+            (zone, [endpoint for endpoint in group if endpoint.is_serving()])
+            for zone, group in self._zones.get(service, ())
+            if self._is_in_service(zone)
+        ]
+
+    def serves(self, endpoint: Endpoint) -> bool:
+        """Tells whether the endpoint may get new work at this moment."""
+        return endpoint.is_serving() and self._is_in_service(endpoint.instance.zone)
+
+    def knows(self, service: EntryName) -> bool:
+        """Tells whether any listed endpoint runs the service."""
+        return service in self._zones
+
+    def zone_latency(self, zone: ZoneName) -> timedelta:
+        """Returns the round trip to a zone."""
+        return self._settings.zone_latencies.get(zone, timedelta(seconds=1))
+
+    def eject(self, endpoint: Endpoint) -> bool:
+        """Ejects an endpoint unless less than half of a service's would be left."""
+        if not self._may_withhold(endpoint):
+            return False
+        endpoint.eject(self._clock.monotonic())
+        return True
+
+    def start_probe(self, endpoint: Endpoint) -> bool:
+        """Withholds work until a probe is answered, with the floor of `eject`."""
+        if endpoint.probing or not self._may_withhold(endpoint):
+            return False
+        endpoint.probing = True
+        return True
+
+    def _may_withhold(self, endpoint: Endpoint) -> bool:
+        now = self._clock.monotonic()
+        if endpoint.is_ejected(now):
+            return False
+        return all(
+            self._keeps_floor(service, now) for service in endpoint.instance.services
+        )
+
+    def _keeps_floor(self, service: EntryName, now: timedelta) -> bool:
+        """Tells whether half of the endpoints are left after one more ejection."""
+        group = self.endpoints(service)
+        ejected = sum(1 for endpoint in group if endpoint.is_ejected(now))
+        return (ejected + 1) * 2 <= len(group)
+
+    def _take_over(self, instance: Instance) -> None:
+        known = self._endpoints.get(instance.instance_id)
+        if known is None or known.instance.serve_url != instance.serve_url:
+            if known is not None:
+                known.leaving = True
+            self._endpoints[instance.instance_id] = Endpoint(instance, self._settings)
+            return
+        was_leaving = known.instance.state is InstanceState.LEAVING
+        if was_leaving and instance.state is InstanceState.LIVE:
+            # Only the list can take an announcement back: it lags, so a mere
+            # "live" may be older than the announcement.
+            known.leaving = False
+            known.returned_at = self._clock.monotonic()
+        known.instance = instance
+
+    def _index(self) -> None:
+        grouped: dict[EntryName, dict[ZoneName, list[Endpoint]]] = {}
+        for endpoint in self._endpoints.values():
+            for service in endpoint.instance.services:
+                zones = grouped.setdefault(service, {})
+                zones.setdefault(endpoint.instance.zone, []).append(endpoint)
+        self._zones = {
+            name: sorted(by_zone.items(), key=self._distance)
+            for name, by_zone in grouped.items()
+        }
+
+    def _distance(
+        self, zone_group: tuple[ZoneName, list[Endpoint]]
+    ) -> tuple[timedelta, ZoneName]:
+        zone = zone_group[0]
+        return self.zone_latency(zone), zone
--- /dev/null
+++ b/chiveworks/routing/_exchange.py
@@ -0,0 +1,157 @@
+"""One request to one endpoint."""
+
+import asyncio
+from contextlib import suppress
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from chiveworks.base import Clock
+from chiveworks.routing._answer_stream import AnswerStream
+from chiveworks.routing._attempt_end import AttemptEnd
+from chiveworks.routing._attempt_error import AttemptError
+from chiveworks.routing._headers import (
+    LEAVING,
+    NOT_RUN,
+    REQUEST_ID,
+    end_to_end,
+)
+from chiveworks.routing._lease import Lease
+from chiveworks.routing._request import Request
+from chiveworks.routing._response import Response
+from chiveworks.routing._settings import RoutingSettings
+
+#: Part of an attempt's time that connecting may take. Connecting must time out
+#: before the attempt does, because only then is it certain that nothing was sent.
+_CONNECT_SHARE = 0.8
+#: Length up to which the body of a refusal is worth reading.
+_SMALL_BYTES = 65536
+_NO_BODY_STATUSES = frozenset((204, 304))
+
+
+class Exchange:
+    """Sends a request on a lease and checks the answer.
+
+    Args:
+        request: The request.
+        lease: The endpoint's slot and session.
+        clock: Source of time.
+        settings: Parameters of routing.
+    """
+
+    def __init__(
+        self, request: Request, lease: Lease, clock: Clock, settings: RoutingSettings
+    ) -> None:
+        self._request = request
+        self._lease = lease
+        self._clock = clock
+        self._settings = settings
+        self._answer: aiohttp.ClientResponse | None = None
+
+    async def run(self, limit_s: float) -> Response:
+        """Returns the answer, complete or with its large rest to be streamed.
+
+        Args:
+            limit_s: Seconds until the answer must have begun, and be complete
+                unless it is streamed.
+
+        Raises:
+            AttemptError: The attempt failed; its connection has been closed.
+        """
+        streamed = False
+        try:
+            async with asyncio.timeout(limit_s):
+                response = await self._run(limit_s)
+            streamed = response.rest is not None
+        except TimeoutError as error:
+            answered = self._answer is not None
+            end = AttemptEnd.READ_TIMEOUT if answered else AttemptEnd.ANSWER_TIMEOUT
+            raise AttemptError(end) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise AttemptError(AttemptEnd.TRUNCATED, str(error)) from error
+        finally:
+            if not streamed:
+                self._finish()
+        return response
+
+    def _finish(self) -> None:
+        if self._answer is not None:
+            # Closes the connection unless the answer was read to its end.
+            self._answer.close()
+        self._lease.release()
+
+    async def _run(self, limit_s: float) -> Response:
+        answer = await self._send(limit_s)
+        self._answer = answer
+        await self._check(answer)
+        body, complete = await self._read_start(answer)
+        if complete:
+            answer.release()
+        peer = self._lease.endpoint.instance.instance_id
+        rest = None if complete else AnswerStream(answer, self._lease, self._time_left)
+        return Response(answer.status, end_to_end(answer.headers), peer, body, rest)
+
+    async def _send(self, limit_s: float) -> aiohttp.ClientResponse:
+        request = self._request
+        instance = self._lease.endpoint.instance
+        base = instance.serve_url.rstrip('/')
+        url = URL(f'{base}/serve/{request.service}/{request.target}', encoded=True)
+        connect_s = min(
+            self._settings.connect_timeout.total_seconds(), limit_s * _CONNECT_SHARE
+        )
+        headers = CIMultiDict(request.headers)
+        headers[REQUEST_ID] = request.request_id
+        return await self._lease.session.request(
+            request.method,
+            url,
+            headers=headers,
+            data=request.body or None,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=None, connect=connect_s),
+        )
+
+    async def _check(self, answer: aiohttp.ClientResponse) -> None:
+        if answer.headers.get(REQUEST_ID) != self._request.request_id:
+            raise AttemptError(AttemptEnd.WRONG_REQUEST_ID)
+        if LEAVING in answer.headers:
+            self._lease.endpoint.leaving = True
+        if answer.status == 503 and NOT_RUN in answer.headers:
+            await _drain_small(answer)
+            raise AttemptError(AttemptEnd.REFUSED, answer.headers[NOT_RUN])
+        if self._has_body(answer) and not _declares_length(answer):
+            # Its end could not be told from a broken connection.
+            raise AttemptError(AttemptEnd.MALFORMED_ANSWER, 'no declared length')
+
+    def _has_body(self, answer: aiohttp.ClientResponse) -> bool:
+        head = self._request.method == 'HEAD'
+        return not head and answer.status not in _NO_BODY_STATUSES
+
+    async def _read_start(self, answer: aiohttp.ClientResponse) -> tuple[bytes, bool]:
+        """Returns the body, or a large one's first part, and whether it is all."""
+        if not self._has_body(answer):
+            return b'', True
+        parts: list[bytes] = []
+        size = 0
+        while size <= self._settings.buffer_bytes:
+            part = await answer.content.readany()
+            if not part:
+                return b''.join(parts), True
+            parts.append(part)
+            size += len(part)
+        return b''.join(parts), False
+
+    def _time_left(self) -> float:
+        return (self._request.deadline - self._clock.monotonic()).total_seconds()
+
+
+def _declares_length(answer: aiohttp.ClientResponse) -> bool:
+    encoding = answer.headers.get('Transfer-Encoding', '')
+    return 'Content-Length' in answer.headers or 'chunked' in encoding.lower()
+
+
+async def _drain_small(answer: aiohttp.ClientResponse) -> None:
+    """Reads a short body to its end, so that its connection can be used again."""
+    if (answer.content_length or 0) <= _SMALL_BYTES:
+        with suppress(aiohttp.ClientError, OSError):
+            await answer.read()
--- /dev/null
+++ b/chiveworks/routing/tests/test_dispatcher.py
@@ -0,0 +1,240 @@
+"""Guards against wrong verdicts, double sending and mixed-up answers."""
+
+import asyncio
+import random
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+
+import pytest
+from aiohttp import web
+
+from chiveworks.base import (
+    EntryName,
+    RackName,
+    RequestId,
+    Step,
+    SystemClock,
+    Verdict,
+    ZoneName,
+)
+from chiveworks.instances import (
+    Instance,
+    InstanceRole,
+    InstanceSnapshot,
+    InstanceState,
+)
+from chiveworks.routing import Dispatcher, EndpointTable, Request, RoutingSettings
+from chiveworks.routing.tests import raw_server as raw
+
+SERVICE = EntryName('compteurs')
+ZONE = ZoneName('laita')
+CLOSED_PORT = 'http://127.0.0.1:1'
+
+
+def instance(name: str, url: str) -> Instance:
+    return Instance(
+        name,
+        InstanceRole.WORKER,
+        ZONE,
+        RackName(''),
+        InstanceState.LIVE,
+        serve_url=url,
+        services=(SERVICE,),
+        slots=64,
+        connections=64,
+    )
+
+
+def request(idempotent=False, timeout_s=2.0, number=0, **options) -> Request:
+    deadline = SystemClock().monotonic() + timedelta(seconds=timeout_s)
+    method = options.pop('method', 'POST')
+    name = RequestId(f'r{number}')
+    return Request(SERVICE, name, method, 'q', deadline, idempotent, **options)
+
+
+@asynccontextmanager
+async def dispatching(*urls: str, **options):
+    settings = RoutingSettings(**{'policy': 'round_robin', **options})
+    table = EndpointTable(SystemClock(), settings, lambda zone: True)
+    listed = tuple(instance(f'w{index}', url) for index, url in enumerate(urls))
+    table.update(InstanceSnapshot(1, listed))
+    dispatcher = Dispatcher(table, SystemClock(), settings)
+    try:
+        yield dispatcher, table
+    finally:
+        await dispatcher.close()
+
+
+ROWS = [
+    (None, Verdict.NOT_RUN, Step.CONNECT),
+    (raw.refuses, Verdict.NOT_RUN, Step.WAIT),
+    (raw.never, Verdict.OUTCOME_UNKNOWN, Step.WAIT),
+    (raw.reset_unanswered, Verdict.OUTCOME_UNKNOWN, Step.WAIT),
+    (raw.reset_after_headers, Verdict.OUTCOME_UNKNOWN, Step.WAIT),
+    (raw.malformed, Verdict.OUTCOME_UNKNOWN, Step.READ),
+    (raw.wrong_id, Verdict.OUTCOME_UNKNOWN, Step.READ),
+    (raw.truncated, Verdict.OUTCOME_UNKNOWN, Step.READ),
+    (raw.undeclared_length, Verdict.OUTCOME_UNKNOWN, Step.READ),
+    (raw.stops_midway, Verdict.OUTCOME_UNKNOWN, Step.READ),
+]
+
+
+@pytest.mark.parametrize('method', ['POST', 'GET'])
+@pytest.mark.parametrize(('behaviour', 'verdict', 'step'), ROWS)
+async def test_verdict_of_a_lone_endpoint(behaviour, verdict, step, method):
+    """A GET marked non-idempotent must not be repeated by the HTTP library."""
+    server = raw.RawServer(behaviour or raw.healthy)
+    async with server.serving():
+        url = server.url if behaviour else CLOSED_PORT
+        async with dispatching(url, attempt_limit=2) as (dispatcher, _):
+            sent = await dispatcher.send(request(timeout_s=0.3, method=method))
+    failure = sent.unwrap_err()
+    assert (failure.verdict, failure.step) == (verdict, step)
+    if verdict is Verdict.OUTCOME_UNKNOWN:
+        assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize(('behaviour', 'verdict', 'step'), ROWS)
+@pytest.mark.parametrize('idempotent', [True, False])
+async def test_retry_elsewhere(behaviour, verdict, step, idempotent):
+    """Retries what was not run, and of the rest only idempotent requests."""
+    bad, good = raw.RawServer(behaviour or raw.healthy), raw.RawServer(raw.healthy)
+    async with bad.serving(), good.serving():
+        # The turn of round_robin starts at the second endpoint.
+        urls = good.url, bad.url if behaviour else CLOSED_PORT
+        async with dispatching(*urls) as (dispatcher, _):
+            sent = await dispatcher.send(request(idempotent, timeout_s=1))
+    may_retry = idempotent or verdict is Verdict.NOT_RUN
+    assert sent.is_ok() == may_retry
+    assert len(good.requests) == may_retry
+    assert len(bad.requests) == (behaviour is not None)
+
+
+@pytest.mark.parametrize('method', ['POST', 'GET', 'PUT'])
+async def test_a_dropped_kept_alive_connection_never_sends_twice(method):
+    async def second_is_dropped(head, reader, writer) -> bool:
+        if len(server.requests) == 2:
+            return await raw.reset_unanswered(head, reader, writer)
+        return await raw.healthy(head, reader, writer)
+
+    server = raw.RawServer(second_is_dropped)
+    async with server.serving(), dispatching(server.url) as (dispatcher, _):
+        assert (await dispatcher.send(request(method=method))).is_ok()
+        sent = await dispatcher.send(request(method=method, number=1))
+        assert sent.unwrap_err().verdict is Verdict.OUTCOME_UNKNOWN
+        assert (server.connections, len(server.requests)) == (1, 2)
+
+
+async def test_not_run_does_not_hide_an_earlier_unknown_outcome():
+    bad = raw.RawServer(raw.reset_unanswered)
+    async with bad.serving():
+        async with dispatching(CLOSED_PORT, bad.url) as (dispatcher, _):
+            sent = await dispatcher.send(request(idempotent=True))
+    assert sent.unwrap_err().verdict is Verdict.OUTCOME_UNKNOWN
+
+
+async def test_silent_connections_are_dropped_and_probed():
+    """Old connections went silent for good while new ones are answered."""
+    silent: set[object] = set()
+
+    async def silent_when_old(head, reader, writer) -> bool:
+        if writer in silent:
+            return await raw.never(head, reader, writer)
+        if head.startswith(b'GET'):
+            writer.write(b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n')
+            return True
+        old.add(writer)
+        await asyncio.sleep(0.05)
+        return await raw.healthy(head, reader, writer)
+
+    old: set[object] = set()
+    server = raw.RawServer(silent_when_old)
+    healthy = raw.RawServer(raw.healthy)
+    async with server.serving(), healthy.serving():
+        async with dispatching(server.url, healthy.url) as (dispatcher, table):
+            first = [request(number=number) for number in range(20)]
+            done = await asyncio.gather(*map(dispatcher.send, first))
+            assert all(sent.is_ok() for sent in done)
+            silent |= old
+            opened = server.connections
+            later = [request(timeout_s=0.3, number=number) for number in range(4)]
+            done = await asyncio.gather(*map(dispatcher.send, later))
+            assert sum(sent.is_err() for sent in done) == 2
+            await asyncio.sleep(0.2)
+            assert server.connections == opened + 1
+            assert not any(one.probing for one in table.endpoints(SERVICE))
+            again = [request(timeout_s=1, number=number) for number in range(6)]
+            done = await asyncio.gather(*map(dispatcher.send, again))
+            assert all(sent.is_ok() for sent in done)
+
+
+async def test_concurrent_requests_get_their_own_complete_answers():
+    """Answers arrive in random order; small and streamed ones are mixed."""
+    draw = random.Random(7)
+
+    async def echo(incoming: web.Request) -> web.Response:
+        body = await incoming.read()
+        await asyncio.sleep(draw.uniform(0, 0.05))
+        same = {'X-Request-Id': incoming.headers['X-Request-Id']}
+        return web.Response(body=body, headers=same)
+
+    app = web.Application(client_max_size=1 << 24)
+    app.router.add_post('/serve/compteurs/q', echo)
+    runner = web.AppRunner(app, access_log=None)
+    async with AsyncExitStack() as stack:
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, '127.0.0.1', 0)
+        await site.start()
+        port = runner.addresses[0][1]
+        dispatcher, table = await stack.enter_async_context(
+            dispatching(f'http://127.0.0.1:{port}', buffer_bytes=10_000)
+        )
+
+        async def one(number: int) -> bool:
+            body = f'{number};'.encode() * (10 if number % 3 else 100_000)
+            sent = await dispatcher.send(request(number=number, body=body))
+            response = sent.unwrap()
+            whole = response.body
+            if response.rest is not None:
+                async for part in response.rest:
+                    whole += part
+            return bool(whole == body)
+
+        assert all(await asyncio.gather(*map(one, range(50))))
+        assert [one.in_flight for one in table.endpoints(SERVICE)] == [0]
+
+
+async def test_retries_stay_within_the_budget_under_total_failure():
+    bad = raw.RawServer(raw.reset_unanswered)
+    async with bad.serving():
+        async with dispatching(bad.url, bad.url, retry_reserve=5) as (dispatcher, _):
+            for number in range(100):
+                await dispatcher.send(request(idempotent=True, number=number))
+    assert 100 < len(bad.requests) <= 100 + 10 + 5
+
+
+async def test_an_announced_leave_takes_precedence_over_a_lagging_list():
+    async def leaves(head, reader, writer) -> bool:
+        writer.write(raw.answer(head, extra=b'X-Chiveworks-Leaving: 1\r\n'))
+        return True
+
+    leaving, good = raw.RawServer(leaves), raw.RawServer(raw.healthy)
+    async with leaving.serving(), good.serving():
+        async with dispatching(good.url, leaving.url) as (dispatcher, table):
+            for number in range(6):
+                assert (await dispatcher.send(request(number=number))).is_ok()
+                listed = instance('w0', good.url), instance('w1', leaving.url)
+                table.update(InstanceSnapshot(2 + number, listed))
+    assert (len(leaving.requests), len(good.requests)) == (1, 5)
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+async def test_hedging_is_for_idempotent_requests_only(idempotent):
+    slow, good = raw.RawServer(raw.never), raw.RawServer(raw.healthy)
+    async with slow.serving(), good.serving():
+        options = {'hedge_after': timedelta(milliseconds=30)}
+        async with dispatching(good.url, slow.url, **options) as (dispatcher, _):
+            sent = await dispatcher.send(request(idempotent, timeout_s=0.4))
+    assert sent.is_ok() == idempotent
+    assert (len(slow.requests), len(good.requests)) == (1, idempotent)
