Call shard owners over gRPC

Cause: any entry process takes jobs and commands, but only the owner of a zone's shard can act on them. Change: peer.proto with its generated code, PeerServer, PeerPool with one channel and one task per peer, OwnerTable, PeerDirectory and ShardClient. A connection that could not be made is *not run*; whatever happens once a request was handed to gRPC is *outcome unknown*. A channel whose call went unanswered is replaced by one that shares no connection with it. A call of a shard that has begun runs to its end even if the caller gives up.

--- a/chiveworks/membership/__init__.py
+++ b/chiveworks/membership/__init__.py
@@ -1,15 +1,31 @@
 """Communication between entry processes, and the spreading of configuration."""
 
+from chiveworks.membership._config_item import ConfigItem
+from chiveworks.membership._config_page import ConfigPage
+from chiveworks.membership._config_push import ConfigPush
+from chiveworks.membership._config_replica import ConfigReplica
+from chiveworks.membership._exchange_handler import ExchangeHandler
+from chiveworks.membership._exchange_reply import ExchangeReply
+from chiveworks.membership._exchange_request import ExchangeRequest
 from chiveworks.membership._failure_reason import FailureReason
 from chiveworks.membership._job_registration import JobRegistration
 from chiveworks.membership._job_state import JobState
 from chiveworks.membership._job_submission import JobSubmission
 from chiveworks.membership._job_transfer import JobTransfer
 from chiveworks.membership._job_view import JobView
+from chiveworks.membership._local_shard import LocalShard
 from chiveworks.membership._override_action import OverrideAction
 from chiveworks.membership._override_kind import OverrideKind
 from chiveworks.membership._override_resolution import OverrideResolution
 from chiveworks.membership._override_view import OverrideView
+from chiveworks.membership._owner_record import OwnerRecord
+from chiveworks.membership._owner_table import OwnerTable
+from chiveworks.membership._peer import Peer
+from chiveworks.membership._peer_directory import PeerDirectory
+from chiveworks.membership._peer_pool import PeerPool
+from chiveworks.membership._peer_server import PeerServer
+from chiveworks.membership._peer_status import PeerStatus
+from chiveworks.membership._shard_client import ShardClient
 from chiveworks.membership._shard_failure import ShardFailure, reason_of
 from chiveworks.membership._shard_handler import ShardHandler
 from chiveworks.membership._shard_view import ShardView
@@ -18,16 +34,32 @@
 from chiveworks.membership._task_view import TaskView
 
 __all__ = (
+    'ConfigItem',
+    'ConfigPage',
+    'ConfigPush',
+    'ConfigReplica',
+    'ExchangeHandler',
+    'ExchangeReply',
+    'ExchangeRequest',
     'FailureReason',
     'JobRegistration',
     'JobState',
     'JobSubmission',
     'JobTransfer',
     'JobView',
+    'LocalShard',
     'OverrideAction',
     'OverrideKind',
     'OverrideResolution',
     'OverrideView',
+    'OwnerRecord',
+    'OwnerTable',
+    'Peer',
+    'PeerDirectory',
+    'PeerPool',
+    'PeerServer',
+    'PeerStatus',
+    'ShardClient',
     'ShardFailure',
     'ShardHandler',
     'ShardView',
--- /dev/null
+++ b/chiveworks/membership/_config_page.py
@@ -0,0 +1,22 @@
+"""A part of the configuration that fits one message."""
+
+from dataclasses import dataclass
+
+from chiveworks.base import Revision
+from chiveworks.membership._config_item import ConfigItem
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPage:
+    """Items in the order of their revisions.
+
+    Attributes:
+        items: The items.
+        next_after: Revision after which the next page starts; 0 on the last page.
+        complete: The pages list everything, not only changes: a key that is in
+            none of them is deleted.
+    """
+
+    items: tuple[ConfigItem, ...] = ()
+    next_after: Revision = Revision(0)
+    complete: bool = False
--- /dev/null
+++ b/chiveworks/membership/_connection.py
@@ -0,0 +1,43 @@
+"""An open channel to a peer."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import grpc
+
+from chiveworks.membership import peer_pb2_grpc
+from chiveworks.membership._channel_options import CLIENT_OPTIONS
+
+
+@dataclass(eq=False)
+class Connection:
+    """A channel, its stub, and whether a call on it has succeeded."""
+
+    channel: Any
+    stub: Any
+    is_proven: bool = False
+
+    @classmethod
+    def open(cls, address: str) -> 'Connection':
+        """Creates a channel, which does not connect yet."""
+        channel = grpc.aio.insecure_channel(address, options=CLIENT_OPTIONS)
+        return cls(channel, peer_pb2_grpc.PeerStub(channel))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the channel is connected, as far as gRPC knows."""
+        return self.channel.get_state() is grpc.ChannelConnectivity.READY
+
+    async def connect(self) -> bool:
+        """Connects; returns False when the connection was refused."""
+        state = self.channel.get_state(try_to_connect=True)
+        while state is not grpc.ChannelConnectivity.READY:
+            if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                return False
+            await self.channel.wait_for_state_change(state)
+            state = self.channel.get_state(try_to_connect=True)
+        return True
+
+    async def wait_lost(self) -> None:
+        """Waits until the channel is no longer connected."""
+        await self.channel.wait_for_state_change(grpc.ChannelConnectivity.READY)
--- /dev/null
+++ b/chiveworks/membership/_peer_directory.py
@@ -0,0 +1,79 @@
+"""The entry processes that are to be called."""
+
+from collections.abc import Iterable
+from random import Random
+
+from chiveworks.base import EntryId, ZoneName
+from chiveworks.instances import Instance, InstanceRole, InstanceState
+from chiveworks.membership._peer import Peer
+
+
+class PeerDirectory:
+    """Peers by the platform's instance list, minus those that are leaving.
+
+    The list lags, so a peer that says it is draining counts as leaving at once.
+    """
+
+    def __init__(self, own: Peer) -> None:
+        self._own = own
+        self._listed: dict[EntryId, Peer] = {}
+        self._draining: set[EntryId] = set()
+
+    def update(self, instances: Iterable[Instance]) -> None:
+        """Takes the current content of the instance list."""
+        listed = (
+            Peer(EntryId(entry.instance_id), entry.zone, entry.peer_address)
+            for entry in instances
+            if _is_live_entry(entry)
+        )
+        self._listed = {
+            peer.entry_id: peer
+            for peer in listed
+            if peer.entry_id != self._own.entry_id
+        }
+        self._draining.intersection_update(self._listed)
+
+    def note_draining(self, entry_id: EntryId, draining: bool) -> None:
+        """Takes what a peer said about itself."""
+        if draining and entry_id in self._listed:
+            self._draining.add(entry_id)
+        else:
+            self._draining.discard(entry_id)
+
+    def peers(self) -> tuple[Peer, ...]:
+        """Returns the peers of all zones."""
+        return tuple(
+            peer
+            for peer in self._listed.values()
+            if peer.entry_id not in self._draining
+        )
+
+    def peers_in(self, zone: ZoneName) -> tuple[Peer, ...]:
+        """Returns the peers of one zone."""
+        return tuple(peer for peer in self.peers() if peer.zone == zone)
+
+    def choose(
+        self, random: Random, own_zone_share: float, excluded: frozenset[str]
+    ) -> Peer | None:
+        """Draws a peer, of the own zone with the given probability.
+
+        Args:
+            random: Source of randomness.
+            own_zone_share: Probability of the own zone, from 0 to 1.
+            excluded: Addresses to be used only when there are no others.
+        """
+        peers = self.peers()
+        usable = [peer for peer in peers if peer.address not in excluded] or peers
+        near = [peer for peer in usable if peer.zone == self._own.zone]
+        far = [peer for peer in usable if peer.zone != self._own.zone]
+        if near and far:
+            return random.choice(near if random.random() < own_zone_share else far)
+        return random.choice(usable) if usable else None
+
+
+def _is_live_entry(instance: Instance) -> bool:
+    return (
+        instance.role is InstanceRole.ENTRY
+        and instance.state is InstanceState.LIVE
+        and bool(instance.peer_address)
+    )
--- /dev/null
+++ b/chiveworks/membership/_peer_link.py
@@ -0,0 +1,167 @@
+"""Connection to one peer."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from datetime import timedelta
+from typing import Any
+
+import grpc
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, Step
+from chiveworks.membership._backoff import Backoff
+from chiveworks.membership._call_failure import call_failure
+from chiveworks.membership._connection import Connection
+from chiveworks.membership._within import within
+
+_CONNECT_TIMEOUT = timedelta(seconds=1)
+#: Time that calls in progress have to finish on a channel that was replaced.
+_RETIRE_GRACE_S = 10
+_Opened = Result[Connection, Failure]
+
+
+class PeerLink:
+    """Owns the channel to one peer; `run` is its only task.
+
+    The channel is opened by the first call, and replaced once its connection is
+    lost or a call on it went unanswered. After a refused connection, or one on
+    which no call succeeded, calls fail at once as *not run* until the backoff
+    allows the next attempt.
+    """
+
+    def __init__(self, address: str, clock: Clock, backoff: Backoff) -> None:
+        self._address = address
+        self._clock = clock
+        self._backoff = backoff
+        self._wanted = asyncio.Event()
+        self._broken = asyncio.Event()
+        self._opening = _new_opening()
+        self._last_use = clock.monotonic()
+
+    @property
+    def last_use(self) -> timedelta:
+        """Time of the last call, by the monotonic clock."""
+        return self._last_use
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether no call has succeeded since the last failed attempt."""
+        return self._backoff.failures > 0
+
+    async def run(self) -> None:
+        """Opens, watches and replaces the channel until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as closing:
+                while True:
+                    await self._wanted.wait()
+                    await self._use_connection(closing)
+        finally:
+            self._settle(Err(self._refusal('the peer was removed')))
+
+    async def call(
+        self, method: str, message: Any, timeout: timedelta
+    ) -> Result[Any, Failure]:
+        """Calls the peer.
+
+        Returns:
+            The reply's message, or a failure: *not run* if no connection could
+            be made, *outcome unknown* once the request may have been sent.
+        """
+        self._last_use = self._clock.monotonic()
+        match await self._acquire():
+            case Ok(connection):
+                return await self._call_on(connection, method, message, timeout)
+            case Err(failure):
+                return Err(failure)
+
+    async def _call_on(
+        self, connection: Connection, method: str, message: Any, timeout: timedelta
+    ) -> Result[Any, Failure]:
+        invoke = getattr(connection.stub, method)
+        try:
+            reply = await invoke(message, timeout=timeout.total_seconds())
+        except grpc.aio.AioRpcError as error:
+            self._discard(connection)
+            return Err(call_failure(error, method, self._address))
+        except asyncio.CancelledError:
+            # gRPC raises this also when the channel is closed under a call.
+            if _is_cancelled():
+                raise
+            lost = f'{method} was in progress when the connection was closed'
+            return Err(Failure.unknown(Step.READ, self._address, lost))
+        connection.is_proven = True
+        self._backoff.reset()
+        return Ok(reply)
+
+    async def _acquire(self) -> _Opened:
+        for _ in range(2):
+            if not self._opening.done():
+                self._wanted.set()
+            opened = await asyncio.shield(self._opening)
+            if opened.is_err() or opened.unwrap().is_ready:
+                return opened
+            self._discard(opened.unwrap())
+        return Err(self._refusal('the connection was lost'))
+
+    def _discard(self, connection: Connection) -> None:
+        opened = self._opening.result() if self._opening.done() else None
+        if opened is not None and opened.ok() is connection:
+            self._opening = _new_opening()
+            self._broken.set()
+
+    async def _use_connection(self, closing: asyncio.TaskGroup) -> None:
+        refusal: Failure | None = None
+        async with AsyncExitStack() as stack:
+            connection = Connection.open(self._address)
+            stack.push_async_callback(connection.channel.close)
+            refusal = await self._connect(connection)
+            if refusal is None:
+                await self._watch(connection)
+                stack.pop_all()
+                closing.create_task(connection.channel.close(_RETIRE_GRACE_S))
+                if not connection.is_proven:
+                    refusal = self._refusal('the last connection did not answer')
+        if refusal is not None:
+            await self._wait_out(refusal)
+
+    async def _connect(self, connection: Connection) -> Failure | None:
+        try:
+            is_open = await within(self._clock, _CONNECT_TIMEOUT, connection.connect())
+        except TimeoutError:
+            return self._refusal('no connection within 1 s')
+        return None if is_open else self._refusal('the connection was refused')
+
+    async def _watch(self, connection: Connection) -> None:
+        self._broken.clear()
+        self._wanted.clear()
+        self._settle(Ok(connection))
+        lost = asyncio.ensure_future(connection.wait_lost())
+        broken = asyncio.ensure_future(self._broken.wait())
+        try:
+            await asyncio.wait({lost, broken}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            lost.cancel()
+            broken.cancel()
+            self._discard(connection)
+
+    async def _wait_out(self, refusal: Failure) -> None:
+        self._wanted.clear()
+        self._settle(Err(refusal))
+        await self._clock.sleep(self._backoff.next_delay())
+        self._opening = _new_opening()
+
+    def _settle(self, opened: _Opened) -> None:
+        if not self._opening.done():
+            self._opening.set_result(opened)
+
+    def _refusal(self, message: str) -> Failure:
+        return Failure.not_run(Step.CONNECT, self._address, message)
+
+
+def _new_opening() -> 'asyncio.Future[_Opened]':
+    return asyncio.get_running_loop().create_future()
+
+
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- /dev/null
+++ b/chiveworks/membership/_peer_pool.py
@@ -0,0 +1,136 @@
+"""Calls to other entry processes."""
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from datetime import timedelta
+from random import Random
+from types import TracebackType
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, Step, ZoneName
+from chiveworks.membership._backoff import Backoff
+from chiveworks.membership._config_push import ConfigPush
+from chiveworks.membership._exchange_reply import ExchangeReply
+from chiveworks.membership._exchange_request import ExchangeRequest
+from chiveworks.membership._peer_link import PeerLink
+from chiveworks.membership._shard_operation import ShardOperation
+from chiveworks.membership._wire_exchange import (
+    push_to_wire,
+    reply_from_wire,
+    request_to_wire,
+)
+
+_Request = TypeVar('_Request')
+_Reply = TypeVar('_Reply')
+
+_EXCHANGE_TIMEOUT = timedelta(seconds=1)
+_LEAST_DELAY = timedelta(milliseconds=200)
+_GREATEST_DELAY = timedelta(seconds=5)
+#: An address that is no longer listed may still own a shard for a while.
+_UNLISTED_USE = timedelta(seconds=60)
+
+
+class PeerPool:
+    """One channel and one task for each peer; an asynchronous context manager."""
+
+    def __init__(self, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._removed: set[asyncio.Task[None]] = set()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> 'PeerPool':
+        """Prepares the pool; channels are opened by the first call to a peer."""
+        self._stack.push_async_callback(self._close_links)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes all channels."""
+        await self._stack.aclose()
+
+    def reconcile(self, addresses: Iterable[str]) -> None:
+        """Closes channels to addresses not listed here, once they are unused."""
+        listed = frozenset(addresses)
+        oldest = self._clock.monotonic() - _UNLISTED_USE
+        for address, link in tuple(self._links.items()):
+            if address not in listed and link.last_use < oldest:
+                self._links.pop(address)
+                self._remove(self._tasks.pop(address))
+
+    def failing(self) -> frozenset[str]:
+        """Returns the addresses at which the last attempt failed."""
+        return frozenset(
+            address for address, link in self._links.items() if link.is_failing
+        )
+
+    async def exchange(
+        self, address: str, request: ExchangeRequest
+    ) -> Result[ExchangeReply, Failure]:
+        """Exchanges state with a peer."""
+        message = request_to_wire(request)
+        answer = await self._link(address).call('Exchange', message, _EXCHANGE_TIMEOUT)
+        return answer.map(reply_from_wire)
+
+    async def push(self, address: str, push: ConfigPush) -> Result[None, Failure]:
+        """Pushes configuration changes to a peer."""
+        message = push_to_wire(push)
+        answer = await self._link(address).call('Push', message, _EXCHANGE_TIMEOUT)
+        return answer.map(lambda _: None)
+
+    async def call_shard(
+        self,
+        address: str,
+        zone: ZoneName,
+        operation: ShardOperation[_Request, _Reply],
+        request: _Request,
+        timeout: timedelta,
+    ) -> Result[_Reply, Failure]:
+        """Calls the shard of `zone` at a peer that is believed to own it."""
+        message: Any = operation.request_to_wire(request)
+        message.zone = zone
+        answer = await self._link(address).call(operation.method, message, timeout)
+        match answer:
+            case Ok(reply):
+                return _decode(operation, reply, address)
+            case Err(failure):
+                return Err(failure)
+
+    def _link(self, address: str) -> PeerLink:
+        link = self._links.get(address)
+        if link is None:
+            backoff = Backoff(_LEAST_DELAY, _GREATEST_DELAY, self._random)
+            link = PeerLink(address, self._clock, backoff)
+            self._links[address] = link
+            self._tasks[address] = asyncio.ensure_future(link.run())
+        return link
+
+    def _remove(self, task: asyncio.Task[None]) -> None:
+        self._removed.add(task)
+        task.add_done_callback(self._removed.discard)
+        task.cancel()
+
+    async def _close_links(self) -> None:
+        for task in self._tasks.values():
+            self._remove(task)
+        self._links.clear()
+        self._tasks.clear()
+        await asyncio.gather(*self._removed, return_exceptions=True)
+
+
+def _decode(
+    operation: ShardOperation[Any, _Reply], message: Any, address: str
+) -> Result[_Reply, Failure]:
+    try:
+        return operation.decode_result(message)
+    except ValueError as error:
+        return Err(Failure.unknown(Step.READ, address, f'unusable answer: {error}'))
--- /dev/null
+++ b/chiveworks/membership/_shard_client.py
@@ -0,0 +1,29 @@
+"""Access to the shards of all zones."""
+
+from datetime import timedelta
+
+from chiveworks.base import ZoneName
+from chiveworks.membership._local_shard import LocalShard
+from chiveworks.membership._owner_table import OwnerTable
+from chiveworks.membership._peer_pool import PeerPool
+from chiveworks.membership._shard_handler import ShardHandler
+from chiveworks.membership._zone_shard import ZoneShard
+
+_TIMEOUT = timedelta(seconds=5)
+
+
+class ShardClient:
+    """Finds the owner of a zone's shard and calls it.
+
+    The handler is called directly while this process owns the shard. A process
+    that answers `not_owner` and names another one is followed once.
+    """
+
+    def __init__(self, local: LocalShard, owners: OwnerTable, pool: PeerPool) -> None:
+        self._local = local
+        self._owners = owners
+        self._pool = pool
+
+    def of_zone(self, zone: ZoneName, timeout: timedelta = _TIMEOUT) -> ShardHandler:
+        """Returns the shard of `zone`; each call to a peer has `timeout`."""
+        return ZoneShard(zone, self._local, self._owners, self._pool, timeout)
--- /dev/null
+++ b/chiveworks/membership/tests/support.py
@@ -0,0 +1,144 @@
+"""Stand-ins shared by the tests of this package."""
+
+import asyncio
+import socket
+from datetime import datetime, timedelta, timezone
+
+from result import Err, Ok
+
+from chiveworks import membership as m
+from chiveworks.base import (
+    Attempt,
+    EntryId,
+    EntryName,
+    Epoch,
+    Failure,
+    JobId,
+    Step,
+    TaskId,
+    TenantName,
+    WorkerId,
+    ZoneName,
+)
+
+ZONE = ZoneName('laita')
+OTHER_ZONE = ZoneName('isole')
+TENANT = TenantName('billing')
+JOB = m.JobView(
+    job_id=JobId('j1'),
+    tenant=TENANT,
+    key='2026-07',
+    state=m.JobState.OUTCOME_UNKNOWN,
+    home=ZONE,
+    generation=3,
+    reason='worker lost',
+    tasks=(
+        m.TaskView(
+            TaskId('t1'),
+            m.TaskState.STOPPING,
+            Attempt(2),
+            WorkerId('w7'),
+            'partial',
+        ),
+    ),
+)
+OVERRIDE = m.OverrideView(
+    override_id='o1',
+    kind=m.OverrideKind.MOVED,
+    zone=ZONE,
+    worker=WorkerId('w7'),
+    task_id=TaskId('t1'),
+    entry=EntryName('recalculation'),
+    owner='ines',
+    since=datetime(2026, 3, 1, 4, 5, 6, 789, tzinfo=timezone.utc),
+    detail='moved from w3 to w7',
+)
+SHARD = m.ShardView(
+    zone=ZONE,
+    owner=EntryId('e1'),
+    epoch=Epoch(77),
+    task_counts=(m.TaskCount(m.TaskState.QUEUED, 5),),
+    workers=24,
+    quarantined_workers=(WorkerId('w9'),),
+    overrides=(OVERRIDE,),
+    unknown_outcomes=(JOB,),
+)
+
+
+class FakeShard:
+    """Answers fixed values, after `delay_s`, and records what it was asked."""
+
+    def __init__(self, delay_s=0, failure=None):
+        self.delay_s = delay_s
+        self.failure = failure
+        self.begun = []
+        self.ended = []
+
+    async def _answer(self, request, reply):
+        self.begun.append(request)
+        await asyncio.sleep(self.delay_s)
+        self.ended.append(request)
+        return Err(self.failure) if self.failure else Ok(reply)
+
+    async def register(self, submission):
+        return await self._answer(submission, m.JobRegistration(JOB, True))
+
+    async def cancel(self, job_id):
+        return await self._answer(job_id, JOB)
+
+    async def transfer(self, transfer):
+        return await self._answer(transfer, JOB)
+
+    async def describe_job(self, job_id):
+        return await self._answer(job_id, JOB)
+
+    async def list_jobs(self, tenant):
+        return await self._answer(tenant, (JOB, JOB))
+
+    async def resolve_override(self, resolution):
+        return await self._answer(resolution, OVERRIDE)
+
+    async def describe_shard(self):
+        return await self._answer('shard', SHARD)
+
+
+class NoExchanges:
+    """Exchange handler for servers whose test makes no exchanges."""
+
+    def answer_exchange(self, request):
+        raise NotImplementedError
+
+    def accept_push(self, push):
+        raise NotImplementedError
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        host, port = probe.getsockname()
+    return f'{host}:{port}'
+
+
+def owner_table(address, zone=ZONE, epoch=1):
+    table = m.OwnerTable()
+    table.update([m.OwnerRecord(zone, Epoch(epoch), EntryId('e1'), address)])
+    return table
+
+
+def server(address, handler=None, owners=None):
+    shard = m.LocalShard(ZONE)
+    if handler is not None:
+        shard.serve(handler)
+    grace = timedelta(seconds=0)
+    table = owners or m.OwnerTable()
+    return m.PeerServer(address, NoExchanges(), shard, table, grace)
+
+
+FAILURE = m.ShardFailure(
+    verdict=Failure.not_run(Step.CLAIM, '', '').verdict,
+    step=Step.STORE_WRITE,
+    peer='store:1',
+    message='the key has other contents',
+    next_step='use another key',
+    reason=m.FailureReason.KEY_REUSED,
+)
