Run tenures of a shard: contend, replay, schedule, release

Cause: the scheduler's parts had no owner of their life cycle. Change: shard candidate, assembly of a tenure, release in order. Conclusion: an entry process can now be assembled.

--- a/chiveworks/jobs/_changes.py
+++ b/chiveworks/jobs/_changes.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerReleased:
-    """The owner has stopped renewing workers' leases and leaves the shard."""
+    """No owner so far renews workers' leases any more."""
 
     epoch: Epoch
     type: Literal['owner_released'] = 'owner_released'
--- a/chiveworks/scheduler/_background.py
+++ b/chiveworks/scheduler/_background.py
@@ -9,7 +9,18 @@
 
     def __init__(self, group: asyncio.TaskGroup) -> None:
         self._group = group
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self, coroutine: Coroutine[object, object, None]) -> asyncio.Task[None]:
         """Starts a task; it is cancelled when the tenure ends."""
-        return self._group.create_task(coroutine)
+        task = self._group.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def stop(self) -> None:
+        """Cancels all tasks started here and waits for their end."""
+        running = tuple(self._tasks)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- a/chiveworks/scheduler/_ledger.py
+++ b/chiveworks/scheduler/_ledger.py
@@ -1,6 +1,7 @@
 """Group commit of changes to the journal."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from result import Err
@@ -30,6 +31,7 @@
         self._table = table
         self._clock = clock
         self._tick = tick
+        self._on_applied: Callable[[Change], None] = _ignore
         self._pending: list[tuple[bytes, asyncio.Future[None]]] = []
         self._waiting = asyncio.Event()
         self._writing: asyncio.Future[None] | None = None
@@ -40,6 +42,10 @@
         """Number of changes that are not durable yet."""
         return len(self._pending)
 
+    def follow(self, on_applied: Callable[[Change], None]) -> None:
+        """Calls `on_applied` after each change from now on."""
+        self._on_applied = on_applied
+
     def commit(self, *changes: Change) -> 'asyncio.Future[None]':
         """Applies changes; the returned future completes once they are durable.
 
@@ -57,6 +63,7 @@
             # that a change carries.
             encoded = encode_change(change)
             self._table.apply(change)
+            self._on_applied(change)
             self._pending.append((encoded, durable))
         if not changes:
             durable.set_result(None)
@@ -85,15 +92,6 @@
         finally:
             self._fail_pending()
 
-    async def flush(self) -> None:
-        """Writes all pending changes now; for a planned stop.
-
-        Raises:
-            ShardLostError: Another owner wrote to the journal.
-        """
-        while self._pending:
-            await self._write_batch()
-
     async def _write_batch(self) -> None:
         batch = self._cut_batch()
         snapshot: tuple[bytes, ...] | None = None
@@ -147,6 +145,10 @@
         self._pending = []
 
 
+def _ignore(_change: Change) -> None:
+    """Stands in until somebody follows the changes."""
+
+
 def _mark_retrieved(durable: 'asyncio.Future[None]') -> None:
     if not durable.cancelled():
         durable.exception()
--- a/chiveworks/scheduler/_override_resolver.py
+++ b/chiveworks/scheduler/_override_resolver.py
@@ -117,7 +117,7 @@
             }
         )
         revision = self._replica.entry_revision(override.entry)
-        applied = await self._editor.apply_entry(resized, revision, author)
+        applied = await self._editor.apply(resized, revision, author)
         if isinstance(applied, Ok):
             return None
         if isinstance(applied.err_value, Failure):
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -31,6 +31,7 @@
         background: Background,
         open_session: Callable[[Instance], WorkerSession],
         list_workers: Callable[[], tuple[Instance, ...]],
+        observe: Callable[[WorkerReport], None],
     ) -> None:
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._context = context
@@ -38,8 +39,13 @@
         self._background = background
         self._open_session = open_session
         self._list_workers = list_workers
+        self._observe = observe
         self._running: dict[WorkerId, asyncio.Task[None]] = {}
 
+    def workers(self) -> tuple[WorkerId, ...]:
+        """Returns the workers with a session."""
+        return tuple(self.sessions)
+
     def update(self) -> None:
         """Opens sessions for new workers; closes those gone and unused."""
         listed = {
@@ -82,6 +88,7 @@
         return bool(self._context.table.active_on(session.worker))
 
     def _on_report(self, session: WorkerSession, report: WorkerReport) -> None:
+        self._observe(report)
         outcome = self._reconciler.reconcile(
             report, session.starts, self._context.clock.now()
         )
--- /dev/null
+++ b/chiveworks/scheduler/_shard_candidate.py
@@ -0,0 +1,150 @@
+"""Contends for the shard of the process's zone and schedules it when it wins."""
+
+import asyncio
+import logging
+from dataclasses import replace
+from datetime import timedelta
+
+from result import Err, Result
+
+from chiveworks.base import Epoch, Failure
+from chiveworks.jobs import OwnerStarted, TaskTable, decode_change, encode_change
+from chiveworks.journal import Journal, JournalLost, Replay
+from chiveworks.membership import OwnerRecord
+from chiveworks.scheduler._shard_environment import ShardEnvironment
+from chiveworks.scheduler._shard_lease import ShardLease
+from chiveworks.scheduler._shard_lost_error import ShardLostError
+from chiveworks.scheduler._shard_parts import ShardParts, assemble_shard
+from chiveworks.scheduler._tenure import Tenure
+
+_LOG = logging.getLogger(__name__)
+_VACANCY_WAIT = timedelta(seconds=3)
+_RETRY = timedelta(seconds=1)
+_RELEASE_LIMIT = timedelta(seconds=5)
+
+
+class ShardCandidate:
+    """Runs one tenure after another until the process stops."""
+
+    def __init__(self, environment: ShardEnvironment) -> None:
+        self._environment = environment
+        self._parts: ShardParts | None = None
+        self._leaving = asyncio.Event()
+
+    async def run(self) -> None:
+        """Contends and schedules; ends after `release`."""
+        while not self._leaving.is_set():
+            lease = self._create_lease()
+            acquired = await lease.acquire()
+            if isinstance(acquired, Err):
+                _LOG.warning('no ownership of the shard: %s', acquired.err_value)
+                await self._pause(_RETRY)
+            elif acquired.ok_value is None:
+                await lease.wait_for_vacancy(_VACANCY_WAIT)
+            elif not self._leaving.is_set():
+                await self._serve(lease, acquired.ok_value)
+
+    async def release(self) -> None:
+        """Gives the shard up in order, for a planned stop."""
+        self._environment.local.withdraw()
+        parts = self._parts
+        if parts is not None:
+            try:
+                async with asyncio.timeout(_RELEASE_LIMIT.total_seconds()):
+                    await parts.scheduler.release()
+            except (TimeoutError, ShardLostError):
+                _LOG.warning('the release of the shard was not recorded')
+        self._leaving.set()
+
+    async def _serve(self, lease: ShardLease, epoch: Epoch) -> None:
+        environment = self._environment
+        tenure = Tenure(
+            environment.zone,
+            environment.entry_id,
+            epoch,
+            environment.clock.monotonic(),
+        )
+        _LOG.info('took the shard, epoch %d', epoch)
+        try:
+            await self._schedule(lease, tenure)
+        except* ShardLostError as lost:
+            _LOG.warning('lost the shard: %s', lost.exceptions[0])
+        except* Exception:
+            _LOG.exception('scheduling of the shard failed')
+        finally:
+            environment.local.withdraw()
+            self._parts = None
+            # Without this a successor would wait until the lease lapses.
+            await lease.release()
+            _LOG.info('gave up the shard, epoch %d', epoch)
+        await self._pause(_RETRY)
+
+    async def _schedule(self, lease: ShardLease, tenure: Tenure) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(lease.hold())
+            group.create_task(self._end_on_release())
+            table = TaskTable()
+            journal, opened = await self._open_journal(tenure)
+            if isinstance(opened, Err):
+                raise ShardLostError(f'the journal was not opened: {opened.err_value}')
+            # The last change is this owner's own start.
+            for stored in opened.ok_value.changes[:-1]:
+                table.apply(decode_change(stored))
+            tenure = replace(
+                tenure, predecessor_released=table.unreleased_owner is None
+            )
+            table.apply(decode_change(opened.ok_value.changes[-1]))
+            self._parts = assemble_shard(
+                self._environment,
+                tenure,
+                table,
+                journal,
+                group,
+            )
+            self._parts.scheduler.start()
+            self._announce(tenure)
+
+    async def _end_on_release(self) -> None:
+        await self._leaving.wait()
+        raise ShardLostError('released for a planned stop')
+
+    async def _open_journal(
+        self, tenure: Tenure
+    ) -> tuple[Journal, Result[Replay, Failure | JournalLost]]:
+        environment = self._environment
+        journal = Journal(
+            environment.store, tenure.zone, environment.clock, environment.random
+        )
+        opening = encode_change(OwnerStarted(tenure.owner, tenure.epoch))
+        return journal, await journal.open(tenure.epoch, (opening,))
+
+    def _announce(self, tenure: Tenure) -> None:
+        environment = self._environment
+        if self._parts is not None:
+            environment.local.serve(self._parts.service)
+        environment.owners.update(
+            (
+                OwnerRecord(
+                    zone=tenure.zone,
+                    epoch=tenure.epoch,
+                    owner=tenure.owner,
+                    peer_address=environment.peer_address,
+                ),
+            )
+        )
+
+    def _create_lease(self) -> ShardLease:
+        environment = self._environment
+        return ShardLease(
+            environment.store,
+            environment.zone,
+            environment.entry_id,
+            environment.peer_address,
+            environment.clock,
+            environment.random,
+            environment.timings,
+        )
+
+    async def _pause(self, longest: timedelta) -> None:
+        share = float(self._environment.random.uniform(0.5, 1))
+        await self._environment.clock.sleep(longest * share)
--- /dev/null
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -0,0 +1,128 @@
+"""Assembly of a shard's parts for one tenure."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chiveworks.instances import Instance
+from chiveworks.jobs import JobStore, TaskTable
+from chiveworks.journal import Journal
+from chiveworks.placement import Quarantine, TaskQueue, queue_orders
+from chiveworks.scheduler._background import Background
+from chiveworks.scheduler._fleet import Fleet
+from chiveworks.scheduler._job_closer import JobCloser
+from chiveworks.scheduler._job_registrar import JobRegistrar
+from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._override_resolver import OverrideResolver
+from chiveworks.scheduler._reconcile import Reconciler
+from chiveworks.scheduler._session_keeper import SessionKeeper
+from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.scheduler._shard_environment import ShardEnvironment
+from chiveworks.scheduler._shard_scheduler import ShardScheduler
+from chiveworks.scheduler._shard_service import ShardService
+from chiveworks.scheduler._start_round import StartRound
+from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._work_queue import WorkQueue
+from chiveworks.scheduler._worker_session import WorkerSession
+from chiveworks.scheduler._zone_departure import ZoneDeparture
+
+_MS = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class ShardParts:
+    """The scheduler and the handler of shard calls."""
+
+    scheduler: ShardScheduler
+    service: ShardService
+
+
+def assemble_shard(
+    environment: ShardEnvironment,
+    tenure: Tenure,
+    table: TaskTable,
+    journal: Journal,
+    group: asyncio.TaskGroup,
+) -> ShardParts:
+    """Builds the parts of a shard around a replayed table.
+
+    Args:
+        environment: Services of the process.
+        tenure: The tenure that begins.
+        table: The replayed state.
+        journal: The opened journal.
+        group: Task group of the tenure.
+    """
+    context = _create_context(environment, tenure, table, journal)
+    background = Background(group)
+    quarantine = Quarantine(environment.clock, len(environment.list_workers()))
+    order = queue_orders.create(environment.queue_order)
+    queue = WorkQueue(TaskQueue(order), table, environment.clock)
+    queue.load()
+    fleet = Fleet(
+        table,
+        environment.replica,
+        quarantine,
+        environment.random,
+        environment.load_of,
+    )
+    timings = environment.timings
+    longest_lease = timings.first_lease_bound
+    if tenure.predecessor_released:
+        longest_lease = timings.lease_bound
+
+    def open_session(instance: Instance) -> WorkerSession:
+        return WorkerSession(
+            instance,
+            environment.connect_worker(instance),
+            tenure,
+            environment.clock,
+            timings,
+            tenure.started + longest_lease,
+        )
+
+    keeper = SessionKeeper(
+        context,
+        Reconciler(table, timings.ticket_max_age // _MS),
+        background,
+        open_session,
+        environment.list_workers,
+        environment.on_report,
+    )
+    scheduler = ShardScheduler(
+        context,
+        queue,
+        quarantine,
+        keeper,
+        JobCloser(context, fleet, background, environment.list_workers),
+        ZoneDeparture(context, environment.shards, environment.zones),
+        StartRound(context, queue, fleet, environment.policy, quarantine),
+        background,
+    )
+    context.ledger.follow(scheduler.note_change)
+    group.create_task(context.ledger.run())
+    service = ShardService(
+        context,
+        JobRegistrar(context, scheduler.stop_job),
+        OverrideResolver(context, environment.editor, keeper.sessions),
+        quarantine,
+        keeper.workers,
+    )
+    return ShardParts(scheduler, service)
+
+
+def _create_context(
+    environment: ShardEnvironment, tenure: Tenure, table: TaskTable, journal: Journal
+) -> ShardContext:
+    tick = environment.timings.commit_tick
+    return ShardContext(
+        tenure=tenure,
+        table=table,
+        ledger=Ledger(journal, table, environment.clock, tick),
+        store=environment.store,
+        job_store=JobStore(environment.store),
+        replica=environment.replica,
+        clock=environment.clock,
+        random=environment.random,
+        timings=environment.timings,
+    )
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -36,15 +36,22 @@
         self._background = background
 
     def start(self) -> None:
-        """Starts the loops in the tenure's task group."""
-        self._background.start(self._context.ledger.run())
+        """Starts the loops; the ledger runs beside them."""
         self._background.start(self._run_rounds())
         self._background.start(self._run_departure())
 
     async def release(self) -> None:
-        """Journals that this owner renews no more leases; for a planned stop."""
-        self._context.ledger.commit(OwnerReleased(self._context.tenure.epoch))
-        await self._context.ledger.flush()
+        """Stops all loops and journals that no lease is renewed any more."""
+        await self._background.stop()
+        tenure = self._context.tenure
+        held_for = self._context.clock.monotonic() - tenure.started
+        # Without this check a predecessor that may still renew leases would be
+        # forgotten.
+        is_alone = held_for > self._context.timings.first_lease_bound
+        if tenure.predecessor_released or is_alone:
+            await self._context.ledger.commit(OwnerReleased(tenure.epoch))
+        else:
+            await self._context.ledger.barrier()
 
     def stop_job(self, job: JobRecord) -> None:
         """Asks the workers to stop a cancelled job's running tasks."""
--- a/chiveworks/scheduler/_tenure.py
+++ b/chiveworks/scheduler/_tenure.py
@@ -15,9 +15,12 @@
         owner: The entry process.
         epoch: Its fencing token.
         started: Monotonic time at which the ownership was known.
+        predecessor_released: Whether no former owner can be renewing leases of
+            workers that this owner does not reach.
     """
 
     zone: ZoneName
     owner: EntryId
     epoch: Epoch
     started: timedelta
+    predecessor_released: bool = False
--- a/chiveworks/scheduler/_zone_departure.py
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -1,9 +1,7 @@
 """Evicts tasks and moves jobs while the zone is out of service."""
 
 import logging
-from typing import Protocol
-
-from result import Err, Result
+from result import Err
 
 from chiveworks.base import Failure, JobId, ZoneName
 from chiveworks.jobs import (
@@ -14,7 +12,7 @@
     JobStayed,
     TaskRecord,
 )
-from chiveworks.membership import JobTransfer, JobView, TaskState
+from chiveworks.membership import JobTransfer, ShardClient, TaskState
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.store import StoreConflict
 
@@ -22,15 +20,6 @@
 _NONCE_BYTES = 12
 
 
-class TransferCaller(Protocol):
-    """Reaches the owners of other zones' shards."""
-
-    async def transfer(
-        self, zone: ZoneName, transfer: JobTransfer
-    ) -> Result[JobView, Failure]:
-        """Asks the owner of `zone` to take over a job."""
-
-
 class ZoneDeparture:
     """Decides which tasks to evict and hands jobs over to other zones.
 
@@ -42,7 +31,7 @@
     def __init__(
         self,
         context: ShardContext,
-        caller: TransferCaller,
+        shards: ShardClient,
         zones: tuple[ZoneName, ...],
     ) -> None:
         self._tenure = context.tenure
@@ -51,7 +40,7 @@
         self._job_store = context.job_store
         self._replica = context.replica
         self._random = context.random
-        self._caller = caller
+        self._shards = shards
         self._zones = zones
 
     @property
@@ -126,7 +115,8 @@
         return others[self._random.integers(len(others))] if others else None
 
     async def _hand_over(self, job: JobRecord, home: ZoneName, generation: int) -> int:
-        taken = await self._caller.transfer(home, JobTransfer(job.job_id, generation))
+        shard = self._shards.of_zone(home)
+        taken = await shard.transfer(JobTransfer(job.job_id, generation))
         if isinstance(taken, Err):
             _LOG.warning(
                 'transfer failed and is repeated: %s',
