--- /dev/null
+++ b/chiveworks/entry/_status_routes.py
@@ -0,0 +1,143 @@
+"""HTTP handlers of the operators' overview and of manual overrides."""
+
+import asyncio
+
+from aiohttp import web
+from pydantic import TypeAdapter
+from result import Err, Ok
+
+from chiveworks.base import ServiceClass, ZoneName
+from chiveworks.catalogue import CatalogueReplica
+from chiveworks.entry._catalogue_replies import invalid, not_found, plain_zone
+from chiveworks.entry._job_routes import shard_failure_response
+from chiveworks.entry._service_monitor import ServiceMonitor
+from chiveworks.membership import (
+    FailureReason,
+    OverrideAction,
+    OverrideResolution,
+    OverrideView,
+    ShardClient,
+    ShardView,
+    reason_of,
+)
+
+_SHARD = TypeAdapter(ShardView)
+_OVERRIDE = TypeAdapter(OverrideView)
+
+
+def add_status_routes(
+    app: web.Application,
+    zones: tuple[ZoneName, ...],
+    shards: ShardClient,
+    replica: CatalogueReplica,
+    monitor: ServiceMonitor,
+) -> None:
+    """Adds `/v1/status` and the override endpoints to an application."""
+    routes = _StatusRoutes(zones, shards, replica, monitor)
+    app.add_routes(
+        [
+            web.get('/v1/status', routes.status),
+            web.get('/v1/overrides', routes.list_overrides),
+            web.post('/v1/overrides/{override_id}/{action}', routes.resolve),
+        ]
+    )
+
+
+class _StatusRoutes:
+    def __init__(
+        self,
+        zones: tuple[ZoneName, ...],
+        shards: ShardClient,
+        replica: CatalogueReplica,
+        monitor: ServiceMonitor,
+    ) -> None:
+        self._zones = zones
+        self._shards = shards
+        self._replica = replica
+        self._monitor = monitor
+
+    async def status(self, _request: web.Request) -> web.Response:
+        views = await self._describe_shards()
+        plain_shards = [
+            _SHARD.dump_python(view, mode='json')
+            for view in views.values()
+            if view is not None
+        ]
+        return web.json_response(
+            {
+                'services': self._services(),
+                'zones': [self._plain_zone(name) for name in self._zones],
+                'shards': plain_shards,
+                'unreachable_zones': [
+                    zone for zone, view in views.items() if view is None
+                ],
+                'overrides': [
+                    one for view in plain_shards for one in view['overrides']
+                ],
+                'unknown_outcomes': [
+                    one for view in plain_shards for one in view['unknown_outcomes']
+                ],
+            }
+        )
+
+    async def list_overrides(self, _request: web.Request) -> web.Response:
+        views = await self._describe_shards()
+        overrides = [
+            _OVERRIDE.dump_python(override, mode='json')
+            for view in views.values()
+            if view is not None
+            for override in view.overrides
+        ]
+        return web.json_response({'overrides': overrides})
+
+    async def resolve(self, request: web.Request) -> web.Response:
+        override_id = request.match_info['override_id']
+        try:
+            action = OverrideAction(request.match_info['action'])
+        except ValueError:
+            return invalid('the action is adopt or revert')
+        author = request.query.get('author', 'unknown')
+        resolution = OverrideResolution(override_id, action, author)
+        for zone in self._zones:
+            resolved = await self._shards.of_zone(zone).resolve_override(resolution)
+            if isinstance(resolved, Ok):
+                plain = _OVERRIDE.dump_python(resolved.ok_value, mode='json')
+                return web.json_response({'override': plain})
+            if reason_of(resolved.err_value) not in _ASK_NEXT_ZONE:
+                return shard_failure_response(resolved.err_value)
+        return not_found(f'no zone in reach has an open override {override_id}')
+
+    async def _describe_shards(self) -> dict[ZoneName, ShardView | None]:
+        described = await asyncio.gather(
+            *(self._shards.of_zone(zone).describe_shard() for zone in self._zones)
+        )
+        return {
+            zone: None if isinstance(view, Err) else view.ok_value
+            for zone, view in zip(self._zones, described, strict=True)
+        }
+
+    def _services(self) -> list[dict[str, object]]:
+        return [
+            {
+                'name': entry.name,
+                'owner': entry.owner,
+                'tenant': entry.tenant,
+                'response_target_ms': entry.response_target_ms,
+                **self._monitor.describe(entry.name, entry.response_target_ms),
+            }
+            for entry in self._replica.entries()
+            if entry.service_class is ServiceClass.LATENCY_CRITICAL
+        ]
+
+    def _plain_zone(self, name: ZoneName) -> dict[str, object]:
+        switch = self._replica.zone_switch(name)
+        return dict(plain_zone(name, switch, self._replica))
+
+
+_ASK_NEXT_ZONE = frozenset(
+    (
+        FailureReason.UNKNOWN_OVERRIDE,
+        FailureReason.NOT_OWNER,
+        FailureReason.UNSPECIFIED,
+    )
+)
