Drive real candidates against simulated workers on a stepped clock

Cause: idle workers got no lease for 8 s after contact, so nothing started. Change: contact makes a worker a candidate, the ticket step gets the lease; workers with ended tasks are asked each second while work waits. Test bench that kills, freezes and cuts candidates, with four failure tests.

--- a/chiveworks/scheduler/_fleet.py
+++ b/chiveworks/scheduler/_fleet.py
@@ -38,7 +38,7 @@
         index = CandidateIndex(self._random)
         for session in sessions.values():
             is_live = session.instance.state is InstanceState.LIVE
-            if is_live and session.is_leased and not session.has_pending_starts:
+            if is_live and session.is_in_contact and not session.has_pending_starts:
                 index.put(self._candidate(session.instance))
         return index
 
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from datetime import timedelta
 
 from result import Err, Ok
 
@@ -32,6 +33,7 @@
         open_session: Callable[[Instance], WorkerSession],
         list_workers: Callable[[], tuple[Instance, ...]],
         observe: Callable[[WorkerReport], None],
+        has_waiting_work: Callable[[], bool],
     ) -> None:
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._context = context
@@ -40,6 +42,7 @@
         self._open_session = open_session
         self._list_workers = list_workers
         self._observe = observe
+        self._has_waiting_work = has_waiting_work
         self._running: dict[WorkerId, asyncio.Task[None]] = {}
 
     def workers(self) -> tuple[WorkerId, ...]:
@@ -81,11 +84,17 @@
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
         self._running[session.worker] = self._background.start(
-            session.run(self._on_report, self._on_failure, self._is_busy)
+            session.run(self._on_report, self._on_failure, self._period_of)
         )
 
-    def _is_busy(self, session: WorkerSession) -> bool:
-        return bool(self._context.table.active_on(session.worker))
+    def _period_of(self, session: WorkerSession) -> timedelta:
+        timings = self._context.timings
+        if not self._context.table.active_on(session.worker):
+            return timings.idle_worker_renew
+        if self._has_waiting_work():
+            # Ended tasks are noticed by reports only; their room is wanted now.
+            return timings.wanted_worker_renew
+        return timings.worker_renew
 
     def _on_report(self, session: WorkerSession, report: WorkerReport) -> None:
         self._observe(report)
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -88,6 +88,7 @@
         open_session,
         environment.list_workers,
         environment.on_report,
+        lambda: len(queue) > 0,
     )
     scheduler = ShardScheduler(
         context,
--- a/chiveworks/scheduler/_timings.py
+++ b/chiveworks/scheduler/_timings.py
@@ -11,6 +11,7 @@
     Attributes:
         worker_lease: Length of a worker's control lease.
         worker_renew: Period of renewals of a worker that runs tasks.
+        wanted_worker_renew: Period for a worker that runs tasks while others wait.
         idle_worker_renew: Period of renewals of a worker that runs none.
         shard_lease: Time to live of the shard's ownership in the store.
         shard_renew: Period of its renewal.
@@ -24,6 +25,7 @@
 
     worker_lease: timedelta = timedelta(seconds=15)
     worker_renew: timedelta = timedelta(seconds=4)
+    wanted_worker_renew: timedelta = timedelta(seconds=1)
     idle_worker_renew: timedelta = timedelta(seconds=8)
     shard_lease: timedelta = timedelta(seconds=9)
     shard_renew: timedelta = timedelta(seconds=3)
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -47,6 +47,7 @@
         self.starts: dict[TaskId, StartTrack] = {}
         self.stops: dict[TaskId, timedelta] = {}
         self.attempted_after_lapse = False
+        self.is_in_contact = False
         self._control = control
         self._tenure = tenure
         self._clock = clock
@@ -84,9 +85,15 @@
         self,
         on_report: Callable[['WorkerSession', WorkerReport], None],
         on_failure: Callable[['WorkerSession', Failure | Refusal], None],
-        is_busy: Callable[['WorkerSession'], bool],
+        period_of: Callable[['WorkerSession'], timedelta],
     ) -> None:
-        """Renews the lease periodically; never ends by itself."""
+        """Renews the lease periodically; never ends by itself.
+
+        Args:
+            on_report: Receives each report.
+            on_failure: Receives the error of each renewal that failed.
+            period_of: Returns the time until the next renewal.
+        """
         while True:
             # Only an attempt that began after the bound counts: this process
             # may have been paused, and the worker may have news.
@@ -96,12 +103,8 @@
                 on_report(self, renewed.ok_value)
             else:
                 on_failure(self, renewed.err_value)
-            period = self._timings.worker_renew
-            if not is_busy(self) and isinstance(renewed, Ok):
-                period = self._timings.idle_worker_renew
-            elif not self.is_leased:
-                period = self._timings.worker_renew / 4
-            await self._clock.sleep(period)
+            self.is_in_contact = isinstance(renewed, Ok)
+            await self._clock.sleep(period_of(self))
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
         """Renews the control lease and takes over the worker's report."""
--- /dev/null
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -0,0 +1,95 @@
+"""Failure tests of a shard: each drives real candidates on a stepped clock."""
+
+from result import Ok
+
+from chiveworks.base import ZoneName
+from chiveworks.catalogue import ZoneState
+from chiveworks.membership import JobState
+from chiveworks.scheduler.tests.shard_bench import ShardBench
+
+LAITA = ZoneName('laita')
+ISOLE = ZoneName('isole')
+
+
+async def _started(**options) -> ShardBench:
+    bench = ShardBench(**options)
+    await bench.start()
+    await bench.put_entry(idempotent=False, can_checkpoint=True)
+    await bench.advance(1)
+    return bench
+
+
+async def test_a_job_runs_once_and_its_result_is_recorded():
+    bench = await _started()
+    submission = bench.submission('bill-1', count=6)
+    registered = await bench.submit(submission)
+    assert isinstance(registered, Ok), registered
+    await bench.advance(20)
+    job = await bench.job(submission)
+    assert job.state is JobState.FINISHED
+    assert all(task.result for task in job.tasks)
+    assert set(bench.finishes().values()) == {1}
+    bench.check_capacity()
+    bench.check_never_twice_at_once()
+    await bench.stop()
+
+
+async def test_a_successor_finishes_the_jobs_of_a_killed_owner():
+    """Guards against claims that die with the owner's memory."""
+    bench = await _started()
+    submission = bench.submission('bill-1', count=10, ms=6000)
+    await bench.submit(submission)
+    await bench.advance(3)
+    await bench.owners_of(LAITA)[0].kill()
+    await bench.advance(60)
+    job = await bench.job(submission)
+    assert job.state is JobState.FINISHED
+    assert set(bench.finishes().values()) == {1}
+    bench.check_capacity()
+    bench.check_never_twice_at_once()
+    await bench.stop()
+
+
+async def test_a_frozen_owner_steps_down_when_it_wakes():
+    """Guards against two owners that start the same task."""
+    bench = await _started()
+    submission = bench.submission('bill-1', count=12, ms=4000)
+    await bench.submit(submission)
+    await bench.advance(2)
+    frozen = bench.owners_of(LAITA)[0]
+    frozen.gate.freeze()
+    await bench.advance(15)
+    frozen.gate.thaw()
+    await bench.advance(60)
+    job = await bench.job(submission)
+    assert job.state is JobState.FINISHED
+    assert len(bench.owners_of(LAITA)) == 1
+    assert set(bench.finishes().values()) == {1}
+    bench.check_capacity()
+    bench.check_never_twice_at_once()
+    await bench.stop()
+
+
+async def test_a_zone_that_is_taken_out_hands_its_jobs_over():
+    """Guards against starts in a zone that is out and against lost evictions."""
+    bench = await _started(zones=(LAITA, ISOLE))
+    submission = bench.submission('bill-1', count=6, ms=20_000)
+    await bench.submit(submission, LAITA)
+    await bench.advance(5)
+    await bench.set_zone(LAITA, ZoneState.OUT)
+    out_ms = bench.clock.monotonic().total_seconds() * 1000
+    await bench.advance(60)
+    job = await bench.job(submission)
+    assert job.home == ISOLE
+    assert job.state is JobState.FINISHED
+    starts = [
+        event.at_ms
+        for name, worker in bench.workers.items()
+        if name.startswith(LAITA)
+        for event in worker.log.events
+        if event.event == 'start'
+    ]
+    assert max(starts) <= out_ms + 3000
+    assert set(bench.finishes().values()) == {1}
+    bench.check_never_twice_at_once()
+    await bench.stop()
