Add the command line

Cause: operators and scripts need commands whose exit code tells what is known. Change: cleo commands for serving, settings, catalogue, zones, jobs and status, as table or JSON; exit codes for unknown outcome, invalid input, not run, conflict and not found. A lost answer to a read is never an unknown outcome. Text from the server is printed without interpretation. io_uring is switched off before uvloop is imported. Conclusion: wrong calls and lost answers end with a message and a next step.

--- /dev/null
+++ b/chiveworks/__main__.py
@@ -0,0 +1,19 @@
+"""Entry point of the program."""
+
+import os
+
+# Set before anything imports uvloop; libuv reads it when a loop is created.
+os.environ['UV_USE_IO_URING'] = '0'
+
+import sys  # noqa: E402
+
+from chiveworks.cli import run_command_line  # noqa: E402
+
+
+def main() -> int:
+    """Runs the command line; returns the exit code."""
+    return run_command_line()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/chiveworks/catalogue/tests/fake_store.py
+++ b/chiveworks/catalogue/tests/fake_store.py
@@ -44,10 +44,11 @@
         self.rows[key] = StoreEntry(key, value, at, row.create_revision if row else at)
         return Err(LOST) if fault == 'lose_answer' else Ok(at)
 
-    async def delete(self, key, expected):
+    async def unused(self, *arguments, **named):
         raise NotImplementedError
 
-    list_prefix = grant_lease = renew_lease = revoke_lease = watch = delete
+    delete = list_prefix = watch = unused
+    grant_lease = renew_lease = revoke_lease = unused
 
 
 class EagerClock(ManualClock):
--- /dev/null
+++ b/chiveworks/cli/_server_command.py
@@ -0,0 +1,96 @@
+"""Base of the commands that talk to an entry process."""
+
+import abc
+import asyncio
+import getpass
+import os
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+import aiohttp
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from yarl import URL
+
+from chiveworks.cli._exit_code import ExitCode
+from chiveworks.cli._printer import Printer
+from chiveworks.cli._reply import Reply
+from chiveworks.cli._server_client import ServerClient
+from chiveworks.cli._usage_error import UsageError
+
+SERVER_OPTIONS = (
+    option(
+        'server',
+        's',
+        'URL of an entry process; CHIVEWORKS_SERVER when absent.',
+        flag=False,
+    ),
+    option('output', 'o', 'table or json.', flag=False, default='table'),
+)
+AUTHOR_OPTION = option(
+    'author',
+    'a',
+    "Author of the change; CHIVEWORKS_AUTHOR or the user's name when absent.",
+    flag=False,
+)
+
+
+class ServerCommand(Command, abc.ABC):
+    """Runs `talk` with a connection to the chosen entry process."""
+
+    options: ClassVar[list[Option]] = [*SERVER_OPTIONS]
+
+    def handle(self) -> int:
+        """Runs the command; returns its exit code."""
+        server = self._server()
+        self.printer = make_printer(self)
+        return asyncio.run(self._connect_and_talk(server))
+
+    @abc.abstractmethod
+    async def talk(self, client: ServerClient) -> ExitCode:
+        """Does the command's work."""
+
+    def finish(self, reply: Reply, show: Callable[[dict[str, Any]], None]) -> ExitCode:
+        """Shows an answer, or reports why there is none."""
+        if self.printer.as_json and reply.body:
+            self.printer.json(reply.body)
+        if reply.failure is not None:
+            self.printer.failure(reply.failure)
+        elif not self.printer.as_json:
+            show(reply.body)
+        return reply.exit_code
+
+    def author(self) -> str:
+        """Returns the author of a change."""
+        named = self.option('author') or os.environ.get('CHIVEWORKS_AUTHOR')
+        if named:
+            return str(named)
+        try:
+            return getpass.getuser()
+        except (KeyError, OSError) as error:
+            raise UsageError('name yourself with --author') from error
+
+    async def _connect_and_talk(self, server: str) -> ExitCode:
+        async with aiohttp.ClientSession() as session:
+            return await self.talk(ServerClient(session, server))
+
+    def _server(self) -> str:
+        server = self.option('server') or os.environ.get('CHIVEWORKS_SERVER', '')
+        if not server:
+            raise UsageError('name an entry process with --server or CHIVEWORKS_SERVER')
+        try:
+            url = URL(server)
+        except ValueError as error:
+            raise UsageError(f'the server is not a URL: {error}') from error
+        if url.scheme not in {'http', 'https'} or not url.host:
+            raise UsageError(f'the server must be an http:// URL, got {server}')
+        return str(server)
+
+
+def make_printer(command: Command) -> Printer:
+    """Returns a printer for the format that the command's options name."""
+    output = command.option('output')
+    if output not in {'table', 'json'}:
+        raise UsageError(f'--output must be table or json, got {output}')
+    return Printer(command.io, as_json=output == 'json')
--- /dev/null
+++ b/chiveworks/cli/_zone_commands.py
@@ -0,0 +1,78 @@
+"""Commands that take availability zones out and bring them back."""
+
+from typing import Any, ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from chiveworks.catalogue import ZoneState
+from chiveworks.cli._exit_code import ExitCode
+from chiveworks.cli._server_client import ServerClient
+from chiveworks.cli._server_command import AUTHOR_OPTION, SERVER_OPTIONS, ServerCommand
+
+_COLUMNS = ('name', 'state', 'since', 'author', 'reason', 'revision')
+
+
+class _ZoneCommand(ServerCommand):
+    arguments: ClassVar[list[Argument]] = [argument('zone', 'Name of the zone.')]
+    options: ClassVar[list[Option]] = [
+        *SERVER_OPTIONS,
+        AUTHOR_OPTION,
+        option('reason', 'r', 'Why, for colleagues.', flag=False, default=''),
+    ]
+    state: ClassVar[ZoneState]
+
+    async def talk(self, client: ServerClient) -> ExitCode:
+        """Sets the zone's switch."""
+        reply = await client.change(
+            'PUT',
+            'zones',
+            self.argument('zone'),
+            query={'author': self.author()},
+            body={'state': self.state.value, 'reason': self.option('reason')},
+        )
+        return self.finish(reply, self._show)
+
+    def _show(self, body: dict[str, Any]) -> None:
+        state = self.state.value.replace('_', ' ')
+        zone = self.argument('zone')
+        self.printer.line(f'zone {zone} is {state}, revision {body.get("revision")}')
+
+
+class ZoneOut(_ZoneCommand):
+    """Takes a zone out."""
+
+    name = 'zone out'
+    description = 'Takes an availability zone out of service.'
+    state = ZoneState.OUT
+
+
+class ZoneBack(_ZoneCommand):
+    """Brings a zone back."""
+
+    name = 'zone back'
+    description = 'Brings an availability zone back into service.'
+    state = ZoneState.IN_SERVICE
+
+
+class ZoneStatus(ServerCommand):
+    """Shows the switches of all zones."""
+
+    name = 'zone status'
+    description = 'Shows which availability zones are in service.'
+
+    async def talk(self, client: ServerClient) -> ExitCode:
+        """Reads the switches."""
+        return self.finish(await client.get('zones'), self._show)
+
+    def _show(self, body: dict[str, Any]) -> None:
+        zones = body.get('zones', ())
+        self.printer.table(
+            _COLUMNS, ([zone.get(column) for column in _COLUMNS] for zone in zones)
+        )
+        for zone in zones:
+            # Tasks that cannot be evicted run to completion in a zone that is out.
+            if zone.get('tasks'):
+                self.printer.line(f'still running in {zone.get("name")}:')
+                self.printer.table(('task',), ([task] for task in zone['tasks']))
