--- a/chiveworks/catalogue/tests/fake_store.py
+++ b/chiveworks/catalogue/tests/fake_store.py
@@ -18,6 +18,7 @@
         self.revision = 0
         self.rows: dict[str, StoreEntry] = {}
         self.faults: list[str] = []
+        self.late: list[tuple[str, bytes, Revision]] = []
         self.failing_reads = 0
         self.before_write = None
 
@@ -35,6 +36,15 @@
             await race()
         if fault == 'lose_request':
             return Err(LOST)
+        if fault == 'late':
+            self.late.append((key, value, expected))
+            return Err(LOST)
+        while self.late:
+            await self._write(*self.late.pop(0))
+        outcome = await self._write(key, value, expected)
+        return Err(LOST) if fault == 'lose_answer' else outcome
+
+    async def _write(self, key, value, expected):
         row = self.rows.get(key)
         found = row.mod_revision if row else Revision(0)
         if found != expected:
@@ -42,7 +52,7 @@
         self.revision += 1
         at = Revision(self.revision)
         self.rows[key] = StoreEntry(key, value, at, row.create_revision if row else at)
-        return Err(LOST) if fault == 'lose_answer' else Ok(at)
+        return Ok(at)
 
     async def unused(self, *arguments, **named):
         raise NotImplementedError
--- a/chiveworks/catalogue/tests/test_editor.py
+++ b/chiveworks/catalogue/tests/test_editor.py
@@ -74,7 +74,10 @@
     assert late == outcome
 
 
-@pytest.mark.parametrize('faults', [['lose_answer'], ['lose_request']])
+@pytest.mark.parametrize(
+    'faults',
+    [['lose_answer'], ['lose_request'], ['late'], ['lose_request', 'lose_answer']],
+)
 async def test_lost_answer_is_settled_by_reading_back(store, replica, editor, faults):
     store.faults = faults
     assert await editor.apply(make_entry(), ABSENT, 'ana') == Ok(1)
