Test the verdicts of HttpCaller and bound the cost of watches

Change: tests with raw answers that break at each step, on new and reused connections; a watch reads only the events past its revision.

--- /dev/null
+++ b/chiveworks/base/tests/test_http_caller.py
@@ -0,0 +1,103 @@
+"""Guards against wrong verdicts, and against headers that cost control traffic."""
+
+import asyncio
+from datetime import timedelta
+
+import aiohttp
+import pytest
+
+from chiveworks.base import Step, Verdict
+from chiveworks.base._http_caller import HttpCaller
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+LIMIT = timedelta(milliseconds=200)
+
+
+class RawServer:
+    """Answers each request on a connection with the next of the given bytes."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.connections = 0
+
+    async def handle(self, reader, writer):
+        self.connections += 1
+        while self.answers:
+            try:
+                self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+            except asyncio.IncompleteReadError:
+                break
+            answer = self.answers.pop(0)
+            if answer is None:
+                await asyncio.sleep(2 * LIMIT.total_seconds())
+                break
+            writer.write(answer)
+            if answer != ANSWER:
+                break
+        writer.close()
+
+
+async def call(server, times=1, method='PUT', **options):
+    async with (
+        await asyncio.start_server(server.handle, '127.0.0.1', 0) as listener,
+        aiohttp.ClientSession() as session,
+    ):
+        port = listener.sockets[0].getsockname()[1]
+        caller = HttpCaller(session, f'http://127.0.0.1:{port}', LIMIT, LIMIT)
+        for _ in range(times):
+            outcome = await caller.call(method, '/x', Step.START, **options)
+    return outcome
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        b'',
+        ANSWER[:-1],
+        ANSWER[:10],
+        None,
+        b'HTTP/1.1 500 \r\nContent-Length: 0\r\n\r\n',
+    ],
+    ids=['closed', 'short body', 'short head', 'no answer', 'server error'],
+)
+@pytest.mark.parametrize('earlier', [(), (ANSWER,)], ids=['new', 'reused'])
+async def test_failure_past_the_connection_is_unknown_for_writes(broken, earlier):
+    server = RawServer(*earlier, broken, ANSWER)
+    failure = (await call(server, times=len(earlier) + 1)).unwrap_err()
+    assert (failure.verdict, failure.step) == (Verdict.OUTCOME_UNKNOWN, Step.START)
+    assert len(server.requests) == len(earlier) + 1
+    read = await call(RawServer(broken), method='GET', writes=False)
+    assert read.unwrap_err().verdict is Verdict.NOT_RUN
+
+
+async def test_connection_is_not_reused_after_a_timeout():
+    server = RawServer(None, ANSWER)
+    assert (await call(server, times=2)).is_ok()
+    assert server.connections == 2
+
+
+async def test_request_carries_no_headers_but_the_needed_ones():
+    server = RawServer(ANSWER)
+    await call(server, body=None, method='POST')
+    names = [line.split(b':')[0] for line in server.requests[0].splitlines()[1:-1]]
+    assert names == [b'Host', b'Content-Length']
+
+
+async def test_exhausted_pool_is_not_run():
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=1)
+    ) as session:
+        server = RawServer(None)
+        async with await asyncio.start_server(
+            server.handle, '127.0.0.1', 0
+        ) as listener:
+            port = listener.sockets[0].getsockname()[1]
+            base_url = f'http://127.0.0.1:{port}'
+            slow = HttpCaller(session, base_url, LIMIT * 2, LIMIT)
+            holder = asyncio.ensure_future(slow.call('PUT', '/x', Step.START))
+            await asyncio.sleep(0.05)
+            caller = HttpCaller(session, base_url, LIMIT, LIMIT / 4)
+            failure = (await caller.call('PUT', '/x', Step.START)).unwrap_err()
+            assert (failure.verdict, failure.step) == (Verdict.NOT_RUN, Step.CONNECT)
+            await holder
--- a/standins/store/_engine.py
+++ b/standins/store/_engine.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from datetime import timedelta
-from itertools import dropwhile
+from itertools import islice
 
 from result import Err, Ok, Result
 
@@ -177,11 +177,10 @@
         if after < self._compacted:
             return WatchBatch(self._revision, (), compacted=True)
         # Revisions are consecutive, so the newest events are counted from the end.
-        recent = dropwhile(lambda event: event.mod_revision <= after, self._history)
-        if after >= self._revision:
-            recent = dropwhile(bool, ())
-        events = tuple(event for event in recent if event.key.startswith(prefix))
-        return WatchBatch(self._revision, events)
+        count = max(self._revision - after, 0)
+        recent = islice(reversed(self._history), count)
+        events = [event for event in recent if event.key.startswith(prefix)]
+        return WatchBatch(self._revision, tuple(reversed(events)))
 
     async def _wait_change(self, limit: timedelta) -> None:
         now = self._clock.monotonic()
