Report unexpected statuses by what they say of the effect

Cause: an unexpected 2xx answer to a command counted as not run, and usage lines carried a field that the wire format does not have. Change: 4xx answers are not run, all other unexpected ones outcome unknown for writes; the workers' stand-in omits that field and optional white space.

--- a/chiveworks/base/_http_caller.py
+++ b/chiveworks/base/_http_caller.py
@@ -16,6 +16,7 @@
 _SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 #: The platform answers these before it does anything.
 _REFUSED = frozenset((429, 503))
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 
 
@@ -105,9 +106,13 @@
         return Failure(verdict, step, self.base_url, message)
 
     def unexpected(self, answer: HttpAnswer, step: Step, *, writes: bool) -> Failure:
-        """Returns the failure of a call whose answer cannot be used."""
+        """Returns the failure of a call whose answer cannot be used.
+
+        A status from 400 to 499 says that the call had no effect.
+        """
+        rejected = _CLIENT_ERROR <= answer.status < _SERVER_ERROR
         message = f'unusable answer with status {answer.status}'
-        return self.failure(step, message, writes=writes)
+        return self.failure(step, message, writes=writes and not rejected)
 
     def _check_status(
         self, answer: HttpAnswer, step: Step, *, writes: bool
--- a/chiveworks/base/tests/test_http_caller.py
+++ b/chiveworks/base/tests/test_http_caller.py
@@ -6,8 +6,9 @@
 import aiohttp
 import pytest
 
-from chiveworks.base import Step, Verdict
+from chiveworks.base import Failure, Revision, Step, Verdict
 from chiveworks.base._http_caller import HttpCaller
+from chiveworks.store import HttpStore
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 LIMIT = timedelta(milliseconds=200)
@@ -71,6 +72,29 @@
     assert read.unwrap_err().verdict is Verdict.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ('status', 'verdict'),
+    [
+        (202, Verdict.OUTCOME_UNKNOWN),
+        (404, Verdict.NOT_RUN),
+        (429, Verdict.NOT_RUN),
+        (502, Verdict.OUTCOME_UNKNOWN),
+        (503, Verdict.NOT_RUN),
+    ],
+)
+async def test_unexpected_status_of_a_write(status, verdict):
+    server = RawServer(f'HTTP/1.1 {status} \r\nContent-Length: 0\r\n\r\n'.encode())
+    async with (
+        await asyncio.start_server(server.handle, '127.0.0.1', 0) as listener,
+        aiohttp.ClientSession() as session,
+    ):
+        port = listener.sockets[0].getsockname()[1]
+        store = HttpStore(session, f'http://127.0.0.1:{port}')
+        failure = (await store.compare_and_swap('k', b'', Revision(0))).unwrap_err()
+        assert isinstance(failure, Failure)
+        assert failure.verdict is verdict
+
+
 async def test_connection_is_not_reused_after_a_timeout():
     server = RawServer(None, ANSWER)
     assert (await call(server, times=2)).is_ok()
--- a/chiveworks/store/_http_store.py
+++ b/chiveworks/store/_http_store.py
@@ -170,10 +170,8 @@
                 found = Revision(int(fields['mod_revision']))
                 return Err(StoreConflict(key, expected, found))
         except _BROKEN:
-            failure = self._caller().unexpected(answer, Step.STORE_WRITE, writes=True)
-            return Err(failure)
-        message = f'the store refused the write with status {answer.status}'
-        return Err(Failure.not_run(Step.STORE_WRITE, self.base_url, message))
+            return Err(self._caller().unexpected(answer, Step.STORE_WRITE, writes=True))
+        return Err(self._caller().unexpected(answer, Step.STORE_WRITE, writes=True))
 
 
 def _decode_read(answer: HttpAnswer) -> StoreRead:
--- a/chiveworks/workers/_http_worker_control.py
+++ b/chiveworks/workers/_http_worker_control.py
@@ -100,8 +100,8 @@
             try:
                 return Err(decode_refusal(answer.body))
             except _BROKEN:
-                return Err(caller.unexpected(answer, step, writes=False))
-        return Err(caller.unexpected(answer, step, writes=False))
+                return Err(caller.unexpected(answer, step, writes=True))
+        return Err(caller.unexpected(answer, step, writes=True))
 
 
 def _attempt(epoch: Epoch, task_id: TaskId, attempt: Attempt) -> dict[str, object]:
--- a/standins/workers/_app.py
+++ b/standins/workers/_app.py
@@ -1,7 +1,9 @@
 """HTTP server that hosts several workers."""
 
+import json
 from collections.abc import Iterable
 from datetime import timedelta
+from functools import partial
 
 from aiohttp import web
 from result import Err
@@ -14,6 +16,7 @@
 from standins.workers._worker import SimulatedWorker
 
 _BODY_LIMIT_BYTES = 64_000_000
+_dump = partial(json.dumps, separators=(',', ':'))
 
 
 def create_app(clock: Clock, specs: Iterable[WorkerSpec]) -> web.Application:
@@ -55,7 +58,7 @@
         dropped = command == 'start' and site.faults.take_start_drop()
         if dropped and request.transport:
             request.transport.abort()
-        return web.json_response(outcome.ok_value)
+        return web.json_response(outcome.ok_value, dumps=_dump)
 
     async def serve(self, request: web.Request) -> web.Response:
         """Serves a request to a service."""
--- a/standins/workers/_report.py
+++ b/standins/workers/_report.py
@@ -78,9 +78,10 @@
 def _usage_json(measured: Measurement) -> dict[str, object]:
     return {
         'task_id': measured.task_id,
+        'cpu_millicores': measured.used.cpu_millicores,
+        'memory_bytes': measured.used.memory_bytes,
         'slowdown': measured.slowdown,
         'at_ms': measured.at_ms,
-        **_resources_json(measured.used),
     }
 
 
