Feed the slowdown estimator from workers' reports

Cause: measurements arrive seconds late, when other tasks run beside a task. Change: a learner keeps what ran on each worker and matches each sample. Figures: no measurement of the effect yet.

--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -6,6 +6,7 @@
 from chiveworks.placement._demand import Demand
 from chiveworks.placement._first_fit import FirstFit
 from chiveworks.placement._interference_aware import InterferenceAware
+from chiveworks.placement._interference_learner import InterferenceLearner
 from chiveworks.placement._orders import DeadlineFair, Fifo
 from chiveworks.placement._policy import PlacementPolicy, placement_policies
 from chiveworks.placement._pressure import Neighbour, WorkerPressure
@@ -29,6 +30,7 @@
     'Fifo',
     'FirstFit',
     'InterferenceAware',
+    'InterferenceLearner',
     'Measure',
     'Neighbour',
     'PlacementPolicy',
--- /dev/null
+++ b/chiveworks/placement/_interference_learner.py
@@ -0,0 +1,95 @@
+"""Feeds the slowdown estimator from workers' late measurements."""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chiveworks.base import Clock, TaskId, WorkerId
+from chiveworks.instances import Instance
+from chiveworks.placement._slowdown_estimator import SlowdownEstimator
+from chiveworks.placement._slowdown_sample import SlowdownSample
+from chiveworks.workers import ReportedState, UsageSample, WorkerReport
+
+#: Reports kept per worker; measurements older than these are matched to the
+#: oldest one.
+_HISTORY = 16
+_SERVICE_PREFIX = 'service:'
+
+
+@dataclass(frozen=True, slots=True)
+class _Neighbourhood:
+    """What ran on a worker from `since` on."""
+
+    since: timedelta
+    kinds: Counter[str]
+    load: float
+
+
+class InterferenceLearner:
+    """Matches each measurement with what ran beside the task at that time."""
+
+    def __init__(self, estimator: SlowdownEstimator, clock: Clock) -> None:
+        self._estimator = estimator
+        self._clock = clock
+        self._history: dict[WorkerId, deque[_Neighbourhood]] = defaultdict(_new_history)
+        self._used: dict[WorkerId, dict[TaskId, int]] = defaultdict(dict)
+
+    def load_of(self, worker: WorkerId) -> float:
+        """Returns the last measured load of a worker, 0 to 1."""
+        history = self._history.get(worker)
+        return history[-1].load if history else 0
+
+    def observe(
+        self, instance: Instance, report: WorkerReport, kinds: Mapping[TaskId, str]
+    ) -> None:
+        """Learns from a report."""
+        now = self._clock.monotonic()
+        running = [
+            one.task_id
+            for one in report.tasks
+            if one.state is ReportedState.RUNNING and one.task_id in kinds
+        ]
+        neighbours = Counter(kinds[task_id] for task_id in running)
+        neighbours.update(str(service) for service in instance.services)
+        load = self._load(instance, report, set(running))
+        history = self._history[report.worker]
+        history.append(_Neighbourhood(now, neighbours, load))
+        samples = (
+            _sample(usage, kind, history, now)
+            for usage in report.usage
+            if (kind := _kind_of(usage, kinds))
+        )
+        self._estimator.partial_fit(samples)
+
+    def _load(
+        self, instance: Instance, report: WorkerReport, running: set[TaskId]
+    ) -> float:
+        used = self._used[report.worker]
+        for usage in report.usage:
+            used[usage.task_id] = usage.used.cpu_millicores
+        for task_id in used.keys() - running:
+            if not task_id.startswith(_SERVICE_PREFIX):
+                used.pop(task_id)
+        whole = max(instance.capacity.cpu_millicores, 1)
+        return min(sum(used.values()) / whole, 1)
+
+
+def _kind_of(usage: UsageSample, kinds: Mapping[TaskId, str]) -> str:
+    if usage.task_id.startswith(_SERVICE_PREFIX):
+        return usage.task_id.removeprefix(_SERVICE_PREFIX)
+    return kinds.get(usage.task_id, '')
+
+
+def _sample(
+    usage: UsageSample, kind: str, history: deque[_Neighbourhood], now: timedelta
+) -> SlowdownSample:
+    at = now - timedelta(milliseconds=usage.age_ms)
+    beside = next((one for one in reversed(history) if one.since <= at), history[0])
+    others = Counter(beside.kinds)
+    others.subtract({kind: 1})
+    return SlowdownSample(kind, +others, beside.load, max(usage.slowdown, 1), at)
+
+
+def _new_history() -> deque[_Neighbourhood]:
+    return deque(maxlen=_HISTORY)
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -14,6 +14,7 @@
 from chiveworks.scheduler import _attempt_end as attempt_end
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._reconcile import Reconciler
+from chiveworks.scheduler._report_observer import ReportObserver
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_lost_error import ShardLostError
 from chiveworks.scheduler._worker_session import WorkerSession
@@ -32,7 +33,7 @@
         background: Background,
         open_session: Callable[[Instance], WorkerSession],
         list_workers: Callable[[], tuple[Instance, ...]],
-        observe: Callable[[WorkerReport], None],
+        observe: ReportObserver,
         has_waiting_work: Callable[[], bool],
     ) -> None:
         self.sessions: dict[WorkerId, WorkerSession] = {}
@@ -97,7 +98,7 @@
         return timings.worker_renew
 
     def _on_report(self, session: WorkerSession, report: WorkerReport) -> None:
-        self._observe(report)
+        self._observe(session.instance, report, self._kinds_in(report))
         outcome = self._reconciler.reconcile(
             report, session.starts, self._context.clock.now()
         )
@@ -110,6 +111,14 @@
             self._context.ledger.commit(*outcome.changes)
             self._background.start(self._acknowledge(session, outcome.acknowledge))
 
+    def _kinds_in(self, report: WorkerReport) -> dict[TaskId, str]:
+        table = self._context.table
+        return {
+            one.task_id: table.job_of(one.task_id).spec.kind
+            for one in report.tasks
+            if one.task_id in table.tasks
+        }
+
     def _on_failure(self, session: WorkerSession, error: Failure | Refusal) -> None:
         """Handles a renewal that failed."""
         _check_epoch(error)
--- a/chiveworks/scheduler/_shard_environment.py
+++ b/chiveworks/scheduler/_shard_environment.py
@@ -10,9 +10,10 @@
 from chiveworks.instances import Instance
 from chiveworks.membership import LocalShard, OwnerTable, ShardClient
 from chiveworks.placement import PlacementPolicy
+from chiveworks.scheduler._report_observer import ReportObserver
 from chiveworks.scheduler._timings import SchedulerTimings
 from chiveworks.store import Store
-from chiveworks.workers import WorkerControl, WorkerReport
+from chiveworks.workers import WorkerControl
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +57,7 @@
     connect_worker: Callable[[Instance], WorkerControl]
     list_workers: Callable[[], tuple[Instance, ...]]
     load_of: Callable[[WorkerId], float]
-    on_report: Callable[[WorkerReport], None]
+    on_report: ReportObserver
     clock: Clock
     random: Generator
     timings: SchedulerTimings
--- a/chiveworks/scheduler/tests/shard_bench.py
+++ b/chiveworks/scheduler/tests/shard_bench.py
@@ -188,7 +188,7 @@
             connect_worker=lambda one: Gated(controls[one.instance_id], gate),
             list_workers=lambda: self.instances(zone),
             load_of=lambda _worker: 0.0,
-            on_report=lambda _report: None,
+            on_report=lambda _instance, _report, _kinds: None,
             clock=clock,
             random=np.random.default_rng((self.seed, number)),
             timings=self.timings,
