--- a/chiveworks/cli/_reply.py
+++ b/chiveworks/cli/_reply.py
@@ -24,7 +24,7 @@
     """Status and body of an answer, or why there was none.
 
     Attributes:
-        status: HTTP status; None without an answer.
+        status: HTTP status; None without an answer of an entry process.
         body: The JSON object of the answer.
         failure: What went wrong; None after success.
     """
@@ -54,7 +54,7 @@
         verdict = Verdict.NOT_RUN if reads or refused else Verdict.OUTCOME_UNKNOWN
         message = f'answer {status} is not one of an entry process'
         advice = 'check the address given by --server or CHIVEWORKS_SERVER'
-        return cls(status, fields, Failure(verdict, Step.READ, peer, message, advice))
+        return cls(None, fields, Failure(verdict, Step.READ, peer, message, advice))
 
     @property
     def exit_code(self) -> ExitCode:
