--- /dev/null
+++ b/chiveworks/entry/_create_app.py
@@ -0,0 +1,66 @@
+"""Assembly of the HTTP interface of an entry process."""
+
+from collections.abc import Callable
+
+import numpy as np
+from aiohttp import web
+
+from chiveworks.admission import Admission
+from chiveworks.base import Clock
+from chiveworks.entry import _translate_settings as translate
+from chiveworks.entry._catalogue_routes import add_catalogue_routes
+from chiveworks.entry._error_middleware import answer_errors
+from chiveworks.entry._health_routes import add_health_routes
+from chiveworks.entry._job_gateway import JobGateway
+from chiveworks.entry._job_routes import add_job_routes
+from chiveworks.entry._latency_middleware import record_latencies
+from chiveworks.entry._mesh import Mesh
+from chiveworks.entry._platform import Platform
+from chiveworks.entry._service_monitor import ServiceMonitor
+from chiveworks.entry._service_routes import add_service_routes
+from chiveworks.entry._status_routes import add_status_routes
+from chiveworks.jobs import JobStore
+from chiveworks.routing import Dispatcher
+from chiveworks.settings import Settings
+from chiveworks.telemetry import Metrics
+
+
+def create_app(
+    settings: Settings,
+    platform: Platform,
+    mesh: Mesh,
+    dispatcher: Dispatcher,
+    metrics: Metrics,
+    is_ready: Callable[[], bool],
+    clock: Clock,
+) -> web.Application:
+    """Returns the application with all routes."""
+    zones = tuple(settings.zone_latencies_ms)
+    monitor = ServiceMonitor(clock)
+    app = web.Application(client_max_size=settings.limits.body_bytes)
+    app.middlewares.append(record_latencies(platform.replica, monitor, metrics, clock))
+    app.middlewares.append(answer_errors)
+    add_health_routes(app, is_ready, metrics)
+    add_catalogue_routes(app, platform.editor, platform.replica, zones)
+    add_job_routes(
+        app,
+        JobGateway(
+            settings.zone,
+            zones,
+            JobStore(platform.store),
+            mesh.shards,
+            platform.replica,
+            np.random.default_rng(),
+        ),
+    )
+    add_status_routes(app, zones, mesh.shards, platform.replica, monitor)
+    add_service_routes(
+        app,
+        catalogue=platform.replica,
+        admission=Admission(clock, translate.to_admission(settings)),
+        dispatcher=dispatcher,
+        store=platform.store,
+        clock=clock,
+        settings=translate.to_service(settings),
+    )
+    return app
--- /dev/null
+++ b/chiveworks/entry/_create_candidate.py
@@ -0,0 +1,64 @@
+"""Assembly of the shard's scheduling in an entry process."""
+
+import numpy as np
+
+from chiveworks.base import Clock
+from chiveworks.entry import _translate_settings as translate
+from chiveworks.entry._instance_watcher import InstanceWatcher
+from chiveworks.entry._mesh import Mesh
+from chiveworks.entry._platform import Platform
+from chiveworks.placement import (
+    InterferenceLearner,
+    PlacementPolicy,
+    SlowdownEstimator,
+    placement_policies,
+)
+from chiveworks.scheduler import ShardCandidate, ShardEnvironment
+from chiveworks.settings import Settings
+
+_NAIVE_POLICY = 'first_fit'
+_QUEUE_ORDER = 'deadline_fair'
+
+
+def create_candidate(
+    settings: Settings,
+    platform: Platform,
+    mesh: Mesh,
+    watcher: InstanceWatcher,
+    clock: Clock,
+) -> ShardCandidate:
+    """Returns the candidate for the shard of the process's zone."""
+    estimator = SlowdownEstimator(clock)
+    learner = InterferenceLearner(estimator, clock)
+    return ShardCandidate(
+        ShardEnvironment(
+            zone=settings.zone,
+            zones=tuple(settings.zone_latencies_ms),
+            entry_id=settings.entry_id,
+            peer_address=mesh.own.address,
+            store=platform.store,
+            replica=platform.replica,
+            editor=platform.editor,
+            local=mesh.local,
+            owners=mesh.owners,
+            shards=mesh.shards,
+            policy=_create_policy(settings, estimator),
+            queue_order=_QUEUE_ORDER,
+            connect_worker=platform.connect_worker,
+            list_workers=lambda: watcher.workers_in(settings.zone),
+            load_of=learner.load_of,
+            on_report=learner.observe,
+            clock=clock,
+            random=np.random.default_rng(),
+            timings=translate.to_timings(settings),
+        )
+    )
+
+
+def _create_policy(settings: Settings, estimator: SlowdownEstimator) -> PlacementPolicy:
+    name = settings.placement.policy
+    if name == _NAIVE_POLICY:
+        return placement_policies.create(name)
+    return placement_policies.create(
+        name, estimator=estimator, weights=translate.to_weights(settings)
+    )
--- /dev/null
+++ b/chiveworks/entry/_entry_process.py
@@ -0,0 +1,162 @@
+"""Life of an entry process from its start to the end of a planned stop."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
+
+from result import Err
+
+from chiveworks.base import RackName, SystemClock
+from chiveworks.entry import _translate_settings as translate
+from chiveworks.entry._create_app import create_app
+from chiveworks.entry._create_candidate import create_candidate
+from chiveworks.entry._drain import DrainState, run_server
+from chiveworks.entry._instance_watcher import InstanceWatcher
+from chiveworks.entry._mesh import Mesh, open_mesh
+from chiveworks.entry._platform import Platform, open_platform
+from chiveworks.instances import (
+    Instance,
+    InstanceRole,
+    InstanceSnapshot,
+    InstanceState,
+)
+from chiveworks.routing import Dispatcher, EndpointTable
+from chiveworks.scheduler import ShardCandidate
+from chiveworks.settings import Settings
+from chiveworks.telemetry import Metrics
+
+_LOG = logging.getLogger(__name__)
+
+
+class EntryProcess:
+    """Builds the parts of an entry process and runs them until a signal."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._stop = asyncio.Event()
+        self._drain = DrainState()
+
+    async def run(self) -> int:
+        """Serves until SIGTERM or SIGINT, then stops in order; returns 0."""
+        self._handle_signals()
+        async with AsyncExitStack() as stack:
+            await self._serve(stack)
+        return 0
+
+    async def _serve(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        metrics = Metrics(self._clock, settings.zone, settings.entry_id)
+        stack.callback(metrics.close)
+        platform = await open_platform(settings, self._clock, metrics, stack)
+        mesh = await open_mesh(settings, platform, self._clock, stack)
+        routing = translate.to_routing(settings)
+        table = EndpointTable(self._clock, routing, platform.replica.is_in_service)
+        dispatcher = Dispatcher(table, self._clock, routing)
+        stack.push_async_callback(dispatcher.close)
+
+        def take_instances(snapshot: InstanceSnapshot) -> None:
+            table.update(snapshot)
+            mesh.take_instances(snapshot)
+
+        watcher = InstanceWatcher(platform.instances, self._clock, take_instances)
+        candidate = create_candidate(settings, platform, mesh, watcher, self._clock)
+        app = create_app(
+            settings,
+            platform,
+            mesh,
+            dispatcher,
+            metrics,
+            lambda: self._is_ready(mesh),
+            self._clock,
+        )
+        self._start(stack, 'instance list', watcher.run())
+        await self._register(platform, mesh, InstanceState.LIVE)
+        self._start(stack, 'configuration', mesh.follower.run())
+        self._start(stack, 'shard', _contend(mesh, candidate))
+
+        async def leave() -> None:
+            await self._register(platform, mesh, InstanceState.LEAVING)
+            await mesh.announce_leaving()
+            await candidate.release()
+
+        await run_server(
+            app,
+            settings.listen.host,
+            settings.listen.port,
+            self._stop,
+            drain=self._drain,
+            grace=translate.to_grace(settings),
+            before_grace=leave,
+            on_listening=_log_listening,
+            clock=self._clock,
+        )
+
+    def _is_ready(self, mesh: Mesh) -> bool:
+        return mesh.follower.is_ready and not self._drain.is_draining
+
+    async def _register(
+        self, platform: Platform, mesh: Mesh, state: InstanceState
+    ) -> None:
+        if not self._settings.register_instance:
+            return
+        registered = await platform.instances.register(
+            Instance(
+                instance_id=self._settings.entry_id,
+                role=InstanceRole.ENTRY,
+                zone=self._settings.zone,
+                rack=RackName(''),
+                state=state,
+                peer_address=mesh.own.address,
+            )
+        )
+        if isinstance(registered, Err):
+            _LOG.warning('not registered as an instance: %s', registered.err_value)
+
+    def _start(
+        self,
+        stack: AsyncExitStack,
+        name: str,
+        coroutine: Coroutine[object, object, None],
+    ) -> None:
+        """Runs a loop for as long as the process; its failure stops the process."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        task.add_done_callback(self._note_end)
+        stack.push_async_callback(_cancel, task)
+
+    def _note_end(self, task: 'asyncio.Task[None]') -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        _LOG.error('the loop %r failed', task.get_name(), exc_info=task.exception())
+        self._stop.set()
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+
+
+async def run_entry(settings: Settings) -> int:
+    """Runs an entry process; returns its exit code.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    return await EntryProcess(settings).run()
+
+
+async def _contend(mesh: Mesh, candidate: ShardCandidate) -> None:
+    # Without the configuration it would not know that its zone is out.
+    await mesh.follower.wait_ready()
+    await candidate.run()
+
+
+async def _cancel(task: 'asyncio.Task[None]') -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def _log_listening(port: int) -> None:
+    _LOG.info('listening on port %d', port)
--- a/chiveworks/scheduler/tests/shard_bench.py
+++ b/chiveworks/scheduler/tests/shard_bench.py
@@ -115,10 +115,9 @@
     candidate: ShardCandidate
     task: 'asyncio.Task[None] | None' = None
 
-    async def kill(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+    def kill(self) -> None:
+        """Ends the process without any cleanup, like SIGKILL."""
+        self.gate.freeze()
         self.local.withdraw()
 
 
@@ -145,6 +144,7 @@
         }
         self.listed = dict.fromkeys(self.workers, InstanceState.LIVE)
         self.processes: list[Process] = []
+        self.killed: list[Process] = []
         self.outsider = MemoryStore(self.engine, self.clock)
 
     async def start(self) -> None:
@@ -154,8 +154,12 @@
         await self.advance(0.1)
 
     async def stop(self) -> None:
+        tasks = [process.task for process in (*self.processes, *self.killed)]
         for process in self.processes:
-            await process.kill()
+            process.gate.freeze()
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=0.01)
 
     def add_process(self, zone: ZoneName) -> Process:
         number = len(self.processes)
@@ -207,6 +211,11 @@
         self.processes.append(process)
         return process
 
+    def kill(self, process: Process) -> None:
+        process.kill()
+        self.processes.remove(process)
+        self.killed.append(process)
+
     def instances(self, zone: ZoneName) -> tuple[Instance, ...]:
         return tuple(
             Instance(
--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -40,7 +40,7 @@
     submission = bench.submission('bill-1', count=10, ms=6000)
     await bench.submit(submission)
     await bench.advance(3)
-    await bench.owners_of(LAITA)[0].kill()
+    bench.kill(bench.owners_of(LAITA)[0])
     await bench.advance(60)
     job = await bench.job(submission)
     assert job.state is JobState.FINISHED
--- /dev/null
+++ b/examples/fleet/__init__.py
@@ -0,0 +1,8 @@
+"""Starts the stand-ins and entry processes of a small fleet on this machine."""
+
+from examples.fleet._audit import Audit
+from examples.fleet._fleet import Fleet
+from examples.fleet._program import Program
+from examples.fleet._shape import LAMPHUN, QUIMPERLE, FleetShape
+
+__all__ = ('LAMPHUN', 'QUIMPERLE', 'Audit', 'Fleet', 'FleetShape', 'Program')
--- /dev/null
+++ b/examples/fleet/_fleet.py
@@ -0,0 +1,213 @@
+"""A small fleet of real processes on this machine."""
+
+import asyncio
+import signal
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import aiohttp
+import yaml
+
+from examples.fleet._ports import LOOPBACK, free_ports
+from examples.fleet._program import Program
+from examples.fleet._shape import FleetShape
+
+_READY_LIMIT_S = 30
+_READY_POLL_S = 0.1
+
+
+class Fleet:
+    """Stand-ins and entry processes; an asynchronous context manager.
+
+    Args:
+        shape: Zones, workers and entry processes.
+        directory: Where settings and logs go.
+        settings: Settings of all entry processes that differ from the defaults.
+        worker_options: Further command line options of the workers' stand-in.
+    """
+
+    def __init__(
+        self,
+        shape: FleetShape,
+        directory: Path,
+        settings: dict[str, Any] | None = None,
+        worker_options: tuple[str, ...] = (),
+    ) -> None:
+        self.shape = shape
+        self.entries: dict[str, Program] = {}
+        self.entry_urls: dict[str, str] = {}
+        self.worker_hosts: dict[str, str] = {}
+        self.store_url = ''
+        self.instances_url = ''
+        self._directory = directory
+        self._settings = settings or {}
+        self._worker_options = worker_options
+        self._stack = AsyncExitStack()
+        self._http: aiohttp.ClientSession | None = None
+
+    @property
+    def http(self) -> aiohttp.ClientSession:
+        """Session for calls to the fleet."""
+        if self._http is None:
+            raise RuntimeError('the fleet was not started')
+        return self._http
+
+    async def __aenter__(self) -> 'Fleet':
+        """Starts all processes and waits until they are ready."""
+        connector = aiohttp.TCPConnector(limit=0)
+        session = aiohttp.ClientSession(connector=connector)
+        self._http = await self._stack.enter_async_context(session)
+        try:
+            await self._start_platform()
+            await self._start_workers()
+            await asyncio.gather(*(self._start_zone(zone) for zone in self.shape.zones))
+            await self.wait_ready()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops all processes."""
+        await self._stack.aclose()
+
+    async def wait_ready(self) -> None:
+        """Waits until every running entry process is ready and shards are owned.
+
+        Raises:
+            TimeoutError: They were not ready in time.
+        """
+        async with asyncio.timeout(_READY_LIMIT_S):
+            for name, url in self.entry_urls.items():
+                if self.entries[name].returncode is None:
+                    await self._poll(f'{url}/readyz')
+            while await self._unowned_zones():
+                await asyncio.sleep(_READY_POLL_S)
+
+    async def start_entry(self, name: str) -> None:
+        """Starts an entry process (again) with its settings file."""
+        path = self._directory / f'{name}.yaml'
+        arguments = ('-m', 'chiveworks', 'serve', str(path))
+        program = Program(name, arguments, self._directory / f'{name}.log')
+        self.entries[name] = program
+        await self._run(program)
+
+    async def status(self) -> dict[str, Any]:
+        """Returns the overview as the first answering entry process has it."""
+        for name, url in self.entry_urls.items():
+            if self.entries[name].returncode is None:
+                async with self.http.get(f'{url}/v1/status') as answer:
+                    status: dict[str, Any] = await answer.json()
+                    return status
+        raise RuntimeError('no entry process runs')
+
+    async def owner_of(self, zone: str) -> str:
+        """Returns the name of the zone's shard owner, empty when unknown."""
+        status = await self.status()
+        owners = {shard['zone']: shard['owner'] for shard in status['shards']}
+        return str(owners.get(zone, ''))
+
+    async def worker_logs(self) -> dict[str, dict[str, Any]]:
+        """Returns the log of every worker by its id."""
+        logs = {}
+        for worker, url in self.worker_hosts.items():
+            async with self.http.get(f'{url}/w/{worker}/log') as answer:
+                logs[worker] = await answer.json()
+        return logs
+
+    def freeze(self, name: str) -> None:
+        """Suspends an entry process."""
+        self.entries[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Continues a suspended entry process."""
+        self.entries[name].send(signal.SIGCONT)
+
+    async def _start_platform(self) -> None:
+        store_port, instances_port = free_ports(2)
+        self.store_url = f'http://{LOOPBACK}:{store_port}'
+        self.instances_url = f'http://{LOOPBACK}:{instances_port}'
+        await self._run_module('standins.store', store_port)
+        await self._run_module('standins.instances', instances_port)
+        await self._poll(f'{self.store_url}/stats')
+        await self._poll(f'{self.instances_url}/v1/instances')
+
+    async def _start_workers(self) -> None:
+        ports = free_ports(len(self.shape.zones))
+        counts = self.shape.workers_per_zone
+        for zone, port, count in zip(self.shape.zones, ports, counts, strict=True):
+            await self._run_module(
+                'standins.workers',
+                port,
+                f'--zone={zone}',
+                f'--rack={zone}-r1',
+                f'--count={count}',
+                f'--instances-url={self.instances_url}',
+                f'--services={self.shape.service}',
+                f'--id-prefix={zone}-w',
+                *self._worker_options,
+            )
+            for number in range(count):
+                self.worker_hosts[f'{zone}-w{number}'] = f'http://{LOOPBACK}:{port}'
+
+    async def _start_zone(self, zone: str) -> None:
+        for number in range(self.shape.entries_per_zone):
+            name = f'{zone}-e{number}'
+            http_port, peer_port = free_ports(2)
+            self.entry_urls[name] = f'http://{LOOPBACK}:{http_port}'
+            self._write_settings(name, zone, http_port, peer_port)
+            await self.start_entry(name)
+
+    def _write_settings(
+        self, name: str, zone: str, http_port: int, peer_port: int
+    ) -> None:
+        latency_ms = self.shape.zone_latency_ms
+        settings = {
+            'entry_id': name,
+            'zone': zone,
+            'listen': {'host': LOOPBACK, 'port': http_port},
+            'peer': {'host': LOOPBACK, 'port': peer_port},
+            'store_url': self.store_url,
+            'instances_url': self.instances_url,
+            'zones': [
+                {'name': other, 'latency_ms': 0.1 if other == zone else latency_ms}
+                for other in self.shape.zones
+            ],
+            'drain_grace_ms': 500,
+            **self._settings,
+        }
+        path = self._directory / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+
+    async def _unowned_zones(self) -> set[str]:
+        status = await self.status()
+        return set(self.shape.zones) - {shard['zone'] for shard in status['shards']}
+
+    async def _run_module(self, module: str, port: int, *options: str) -> None:
+        arguments = ('-m', module, '--host', LOOPBACK, '--port', str(port), *options)
+        name = f'{module}-{port}'
+        await self._run(Program(name, arguments, self._directory / f'{name}.log'))
+
+    async def _run(self, program: Program) -> None:
+        await program.start()
+        self._stack.push_async_callback(program.stop)
+
+    async def _poll(self, url: str) -> None:
+        deadline = time.monotonic() + _READY_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                async with self.http.get(url) as answer:
+                    if answer.ok:
+                        return
+            except aiohttp.ClientError:
+                pass  # noqa: WPS420 - it is still starting
+            await asyncio.sleep(_READY_POLL_S)
+        raise TimeoutError(f'{url} did not answer')
