Add admission: limiters, tenant fairness, rates, deadlines, shedding

Overload must be refused early and truthfully as not run, and one tenant must not starve another.

- Limiters `fixed` and `adaptive` (latency gradient).
- Self-clocked fair queuing over bounded queues per tenant; token bucket and concurrency per tenant and service; batch is refused first; deadlines below the least latency seen are refused until that estimate fades.

--- a/chiveworks/admission/__init__.py
+++ b/chiveworks/admission/__init__.py
@@ -1,1 +1,28 @@
-"""admission."""
+"""Limits of what may run at once, and fairness among tenants."""
+
+from chiveworks.admission._adaptive_limiter import AdaptiveLimiter
+from chiveworks.admission._admission import Admission
+from chiveworks.admission._demand import Demand
+from chiveworks.admission._fair_queue import FairQueue
+from chiveworks.admission._fixed_limiter import FixedLimiter
+from chiveworks.admission._latency_floor import LatencyFloor
+from chiveworks.admission._limiter import LIMITERS, Limiter
+from chiveworks.admission._permit import Permit
+from chiveworks.admission._settings import AdmissionSettings
+from chiveworks.admission._tenant_limit_failure import TenantLimitFailure
+from chiveworks.admission._token_bucket import TokenBucket
+
+__all__ = (
+    'AdaptiveLimiter',
+    'Admission',
+    'AdmissionSettings',
+    'Demand',
+    'FairQueue',
+    'FixedLimiter',
+    'LIMITERS',
+    'LatencyFloor',
+    'Limiter',
+    'Permit',
+    'TenantLimitFailure',
+    'TokenBucket',
+)
--- /dev/null
+++ b/chiveworks/admission/_fair_queue.py
@@ -0,0 +1,78 @@
+"""Requests that wait for admission."""
+
+import asyncio
+import heapq
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+from chiveworks.admission._demand import Demand
+from chiveworks.base import TenantName
+
+
+@dataclass(order=True, slots=True)
+class Waiter:
+    """A waiting request, ordered by its virtual finish time."""
+
+    finish: float
+    order: int
+    demand: Demand = field(compare=False)
+    admitted: 'asyncio.Future[None]' = field(compare=False)
+
+
+class FairQueue:
+    """Bounded queues of tenants, served in proportion to their weights.
+
+    Self-clocked fair queuing (Golestani, 1994): each request gets a virtual
+    finish time that advances by 1 / weight per request of its tenant, and the
+    lowest goes first. A tenant that floods its queue only delays itself.
+    """
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._heap: list[Waiter] = []
+        self._lengths: Counter[TenantName] = Counter()
+        self._finishes: dict[TenantName, float] = {}
+        self._virtual_time = float(0)
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        return sum(self._lengths.values())
+
+    def push(self, demand: Demand, weight: float) -> Waiter | None:
+        """Appends a request to its tenant's queue; None when that is full."""
+        tenant = demand.tenant
+        if self._lengths[tenant] >= self._bound:
+            return None
+        start = max(self._virtual_time, self._finishes.get(tenant, 0))
+        admitted = asyncio.get_running_loop().create_future()
+        waiter = Waiter(start + 1 / weight, next(self._order), demand, admitted)
+        self._finishes[tenant] = waiter.finish
+        self._lengths[tenant] += 1
+        heapq.heappush(self._heap, waiter)
+        return waiter
+
+    def pop(self) -> Waiter | None:
+        """Removes and returns the request whose turn it is."""
+        while self._heap:
+            waiter = heapq.heappop(self._heap)
+            if not waiter.admitted.done():
+                self._virtual_time = max(self._virtual_time, waiter.finish)
+                self._forget(waiter.demand.tenant)
+                return waiter
+        return None
+
+    def cancel(self, waiter: Waiter) -> None:
+        """Withdraws a request that is still in its queue."""
+        if not waiter.admitted.done():
+            waiter.admitted.cancel()
+            self._forget(waiter.demand.tenant)
+
+    def _forget(self, tenant: TenantName) -> None:
+        self._lengths[tenant] -= 1
+        if not self._lengths[tenant]:
+            self._lengths.pop(tenant)
+        if not self._lengths:
+            # Nobody waits, so nobody is ahead; this also bounds the map.
+            self._finishes.clear()
+            self._virtual_time = 0
--- /dev/null
+++ b/chiveworks/admission/_latency_floor.py
@@ -0,0 +1,39 @@
+"""Least latency that a service needs."""
+
+from datetime import timedelta
+
+_HALF_LIFE = timedelta(seconds=10)
+_HALF_LIVES = 60
+#: A slower answer raises the floor by this share of the difference, so that the
+#: floor follows a service that has become slower.
+_RISE = 0.01
+
+
+class LatencyFloor:
+    """Follows the lowest latencies seen.
+
+    The floor fades while nothing is measured. Otherwise a floor above all
+    deadlines would refuse every request and never be corrected.
+    """
+
+    def __init__(self) -> None:
+        # The trailing underscore marks learned state (design.md, section 13).
+        self.floor_: timedelta | None = None  # noqa: WPS120
+        self.measured_at_ = timedelta()  # noqa: WPS120
+
+    def predict(self, now: timedelta) -> timedelta:
+        """Returns the least latency to expect."""
+        if self.floor_ is None:
+            return timedelta()
+        age: float = (now - self.measured_at_) / _HALF_LIFE
+        return self.floor_ * float(0.5 ** min(age, _HALF_LIVES))
+
+    def partial_fit(self, now: timedelta, latency: timedelta) -> None:
+        """Takes in one measurement."""
+        floor = self.floor_
+        if floor is None or latency < floor:
+            floor = latency
+        else:
+            floor += (latency - floor) * _RISE
+        self.floor_ = floor  # noqa: WPS120
+        self.measured_at_ = now  # noqa: WPS120
--- /dev/null
+++ b/chiveworks/admission/_permit.py
@@ -0,0 +1,36 @@
+"""Leave to run one request."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from chiveworks.admission._demand import Demand
+
+
+class Permit:
+    """Counts as one request in progress until it is released.
+
+    Attributes:
+        demand: What was admitted.
+        admitted_at: Monotonic time of admission.
+    """
+
+    def __init__(
+        self,
+        demand: Demand,
+        admitted_at: timedelta,
+        on_release: Callable[['Permit', bool], None],
+    ) -> None:
+        self.demand = demand
+        self.admitted_at = admitted_at
+        self._on_release = on_release
+        self._released = False
+
+    def release(self, dropped: bool = False) -> None:
+        """Ends the request; later calls have no effect.
+
+        Args:
+            dropped: Whether it failed for lack of capacity or by timeout.
+        """
+        if not self._released:
+            self._released = True
+            self._on_release(self, dropped)
--- /dev/null
+++ b/chiveworks/admission/tests/test_admission.py
@@ -0,0 +1,179 @@
+"""Guards against starved tenants, leaked places and requests admitted too late."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from chiveworks.admission import (
+    LIMITERS,
+    AdaptiveLimiter,
+    Admission,
+    AdmissionSettings,
+    Demand,
+)
+from chiveworks.base import (
+    EntryName,
+    ManualClock,
+    ServiceClass,
+    Step,
+    TenantName,
+    Verdict,
+)
+
+SERVICE = EntryName('compteurs')
+
+
+def demand(tenant='a', deadline_s=60.0, batch=False, **limits) -> Demand:
+    kind = ServiceClass.BATCH if batch else ServiceClass.LATENCY_CRITICAL
+    deadline = timedelta(seconds=deadline_s)
+    return Demand(TenantName(tenant), SERVICE, kind, deadline, **limits)
+
+
+def admission(clock: ManualClock, limit: int = 1, **options) -> Admission:
+    options = {'limiter': 'fixed', 'limit': limit, **options}
+    return Admission(clock, AdmissionSettings(**options))
+
+
+async def settle() -> None:
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def serve_in_order(gate: Admission, tenants: str) -> str:
+    """Queues one request per letter and returns the order of their admission."""
+    first = (await gate.admit(demand('first'))).unwrap()
+    order = ''
+
+    async def one(tenant: str) -> None:
+        nonlocal order
+        admitted = await gate.admit(demand(tenant))
+        if admitted.is_ok():
+            order += tenant
+            await asyncio.sleep(0)
+            admitted.unwrap().release()
+
+    tasks = [asyncio.ensure_future(one(tenant)) for tenant in tenants]
+    await settle()
+    first.release()
+    await asyncio.gather(*tasks)
+    assert gate.in_progress == 0
+    return order
+
+
+async def test_a_flooding_tenant_only_delays_itself():
+    gate = admission(ManualClock())
+    assert await serve_in_order(gate, 'a' * 10 + 'bc') == 'abc' + 'a' * 9
+
+
+async def test_weights_share_the_capacity():
+    gate = admission(ManualClock(), weights={TenantName('a'): 2})
+    order = await serve_in_order(gate, 'a' * 12 + 'b' * 12)
+    assert order[:12].count('a') == 8
+
+
+async def test_the_queue_of_a_tenant_is_bounded():
+    gate = admission(ManualClock(), queue_per_tenant=3)
+    assert await serve_in_order(gate, 'aaaaab') == 'abaa'
+
+
+async def test_a_wait_ends_at_the_deadline_and_leaves_no_trace():
+    clock = ManualClock()
+    gate = admission(clock)
+    permit = (await gate.admit(demand())).unwrap()
+    late = asyncio.ensure_future(gate.admit(demand(deadline_s=1, concurrency=2)))
+    cancelled = asyncio.ensure_future(gate.admit(demand()))
+    await settle()
+    cancelled.cancel()
+    await clock.advance(timedelta(seconds=1))
+    failure = (await late).unwrap_err()
+    assert (failure.verdict, failure.step) == (Verdict.NOT_RUN, Step.ADMIT)
+    permit.release()
+    permit.release()
+    assert gate.in_progress == 0
+    assert (await gate.admit(demand(concurrency=1))).is_ok()
+
+
+async def test_a_request_cancelled_just_after_its_admission_frees_its_place():
+    gate = admission(ManualClock())
+    permit = (await gate.admit(demand())).unwrap()
+    waiting = asyncio.ensure_future(gate.admit(demand()))
+    await settle()
+    permit.release()
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert gate.in_progress == 0
+
+
+async def test_rate_limit_per_tenant():
+    clock = ManualClock()
+    gate = admission(clock, limit=100)
+
+    async def admitted(tenant: str, count: int) -> int:
+        wanted = [demand(tenant, rate_per_s=5) for _ in range(count)]
+        return sum([(await gate.admit(one)).is_ok() for one in wanted])
+
+    assert await admitted('a', 8) == 5
+    assert await admitted('b', 8) == 5
+    clock.shift(timedelta(milliseconds=400))
+    assert await admitted('a', 8) == 2
+
+
+async def test_concurrency_limit_per_tenant():
+    gate = admission(ManualClock(), limit=100)
+    permit = (await gate.admit(demand(concurrency=1))).unwrap()
+    assert (await gate.admit(demand(concurrency=1))).is_err()
+    assert (await gate.admit(demand('b', concurrency=1))).is_ok()
+    permit.release()
+    assert (await gate.admit(demand(concurrency=1))).is_ok()
+
+
+async def test_batch_is_shed_before_latency_critical_requests():
+    gate = admission(ManualClock(), limit=10)
+    for _ in range(7):
+        assert (await gate.admit(demand(batch=True))).is_ok()
+    assert (await gate.admit(demand(batch=True))).is_err()
+    assert (await gate.admit(demand())).is_ok()
+
+
+async def test_deadlines_that_cannot_be_met_are_refused_until_the_estimate_fades():
+    clock = ManualClock()
+    gate = admission(clock)
+    assert (await gate.admit(demand(deadline_s=0))).is_err()
+    permit = (await gate.admit(demand())).unwrap()
+    clock.shift(timedelta(seconds=2))
+    permit.release()
+    assert (await gate.admit(demand(deadline_s=3))).is_err()
+    clock.shift(timedelta(seconds=30))
+    assert (await gate.admit(demand(deadline_s=33))).is_ok()
+
+
+def test_the_adaptive_limit_settles_near_the_capacity_of_the_endpoints():
+    """Latency is 10 ms up to the capacity and grows with the queue beyond it."""
+    limiter = AdaptiveLimiter(400)
+    limiter.observe(timedelta(milliseconds=10), 1, dropped=False)
+
+    def run(capacity: int) -> int:
+        for _ in range(20_000):
+            latency_ms = 10 * max(1, limiter.limit() / capacity)
+            latency = timedelta(milliseconds=latency_ms)
+            limiter.observe(latency, limiter.limit(), dropped=False)
+        return limiter.limit()
+
+    assert 50 <= run(capacity=50) <= 100
+    assert 200 <= run(capacity=200) <= 400
+    assert 50 <= run(capacity=50) <= 100
+
+
+def test_an_unused_limit_stays_and_dropped_requests_lower_it():
+    limiter = AdaptiveLimiter(100)
+    limiter.observe(timedelta(milliseconds=10), 1, dropped=False)
+    assert limiter.limit() == 100
+    limiter.observe(timedelta(), 1, dropped=True)
+    assert limiter.limit() < 100
+
+
+def test_unknown_limiters_are_named_in_the_error():
+    assert LIMITERS.names() == ('adaptive', 'fixed')
+    with pytest.raises(ValueError, match='adaptive, fixed'):
+        LIMITERS.create('none')
