--- a/chiveworks/entry/__init__.py
+++ b/chiveworks/entry/__init__.py
@@ -1,1 +1,22 @@
-"""entry."""
+"""The HTTP side of an entry process."""
+
+from chiveworks.entry._drain import DrainState, run_server
+from chiveworks.entry._rejection import Rejection
+from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
+from chiveworks.entry._service_catalogue import ServiceCatalogue, ServiceEntry
+from chiveworks.entry._service_routes import ServiceRoutes, add_service_routes
+from chiveworks.entry._service_settings import ServiceSettings
+
+__all__ = (
+    'DrainState',
+    'Rejection',
+    'RequestClaim',
+    'RequestClaims',
+    'RequestRecord',
+    'ServiceCatalogue',
+    'ServiceEntry',
+    'ServiceRoutes',
+    'ServiceSettings',
+    'add_service_routes',
+    'run_server',
+)
--- /dev/null
+++ b/chiveworks/entry/_service_request.py
@@ -0,0 +1,131 @@
+"""Reading and checking of callers' requests."""
+
+import asyncio
+import re
+import uuid
+from dataclasses import dataclass
+from datetime import timedelta
+from urllib.parse import unquote
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from chiveworks.base import EntryName, Failure, RequestId, Step, TenantName
+from chiveworks.entry._rejection import Rejection
+
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
+_VISIBLE = re.compile('[!-~]{1,200}')
+_NUMBER = re.compile('[1-9][0-9]{0,8}')
+_METHODS = frozenset(('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'))
+_TENANT = 'X-Chiveworks-Tenant'
+_DEADLINE = 'X-Chiveworks-Deadline-Ms'
+_REQUEST_ID = 'X-Request-Id'
+_KEY = 'Idempotency-Key'
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """The checked head of a request.
+
+    Attributes:
+        service: Service asked for.
+        target: Path below the service with its query, encoded as received.
+        request_id: Id that the answer carries.
+        tenant: Tenant named by the caller, if any.
+        deadline: Time the caller allows, if given.
+        key: Idempotency key, if given.
+    """
+
+    service: EntryName
+    target: str
+    request_id: RequestId
+    tenant: TenantName | None
+    deadline: timedelta | None
+    key: str | None
+
+
+def parse_head(request: web.Request) -> Result[ServiceRequest, Rejection]:
+    """Checks everything but the body."""
+    problem = _find_problem(request)
+    if problem is not None:
+        return Err(reject(400, problem))
+    headers = request.headers
+    _, _, service, *path = request.rel_url.raw_path.split('/', 3)
+    query = request.rel_url.raw_query_string
+    target = '{0}{1}'.format(''.join(path), f'?{query}' if query else '')
+    tenant = headers.get(_TENANT)
+    deadline = headers.get(_DEADLINE)
+    parsed = ServiceRequest(
+        EntryName(service),
+        target,
+        RequestId(headers.get(_REQUEST_ID) or uuid.uuid4().hex),
+        None if tenant is None else TenantName(tenant),
+        None if deadline is None else timedelta(milliseconds=int(deadline)),
+        headers.get(_KEY),
+    )
+    return Ok(parsed)
+
+
+async def read_body(
+    request: web.Request, limit_bytes: int, timeout: timedelta
+) -> Result[bytes, Rejection]:
+    """Reads the body up to a limit of size and time."""
+    too_large = reject(413, f'the body exceeds {limit_bytes} bytes')
+    if (request.content_length or 0) > limit_bytes:
+        return Err(too_large)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            while part := await request.content.readany():
+                size += len(part)
+                if size > limit_bytes:
+                    return Err(too_large)
+                parts.append(part)
+    except TimeoutError:
+        return Err(reject(408, 'the body did not arrive before the deadline'))
+    except (web.RequestPayloadError, OSError):
+        return Err(reject(400, 'the body was cut off'))
+    if request.content_length not in {None, size}:
+        return Err(reject(400, 'the body was cut off'))
+    return Ok(b''.join(parts))
+
+
+def reject(status: int, message: str) -> Rejection:
+    """Returns the rejection of a request that is at fault."""
+    failure = Failure.not_run(Step.VALIDATE, '', message, 'correct the request')
+    return Rejection(status, failure)
+
+
+def _find_problem(request: web.Request) -> str | None:
+    if request.version < (1, 1):
+        # HTTP/1.0 has no way to tell a streamed answer from a truncated one.
+        return 'HTTP/1.1 is required'
+    if request.method not in _METHODS:
+        return f'the method {request.method[:20]} is not supported'
+    if not _NAME.fullmatch(request.match_info['service']):
+        return 'the service name is malformed'
+    # A dot segment could leave the service's path on the endpoint, for instance
+    # towards the worker's control interface.
+    segments = unquote(request.rel_url.raw_path).replace('\\', '/').split('/')
+    if {'.', '..'} & set(segments):
+        return 'the path has a dot segment'
+    return _find_header_problem(request)
+
+
+def _find_header_problem(request: web.Request) -> str | None:
+    for name, pattern, rule in _HEADER_RULES:
+        found = request.headers.getall(name, [])
+        if len(found) > 1:
+            return f'{name} is given more than once'
+        if found and not pattern.fullmatch(found[0]):
+            return f'{name} must be {rule}'
+    return None
+
+
+_HEADER_RULES = (
+    (_TENANT, _NAME, 'a name of up to 128 letters, digits, dots and dashes'),
+    (_DEADLINE, _NUMBER, 'a whole number of milliseconds from 1 to 999999999'),
+    (_REQUEST_ID, _VISIBLE, '1 to 200 visible ASCII characters'),
+    (_KEY, _VISIBLE, '1 to 200 visible ASCII characters'),
+)
--- /dev/null
+++ b/chiveworks/entry/_service_routes.py
@@ -0,0 +1,239 @@
+"""The route of callers' requests to services."""
+
+from datetime import timedelta
+from http import HTTPStatus
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from chiveworks.admission import Admission, Demand, TenantLimitFailure
+from chiveworks.base import Clock, Failure, Step, Verdict
+from chiveworks.entry._rejection import Rejection
+from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
+from chiveworks.entry._service_catalogue import ServiceCatalogue, ServiceEntry
+from chiveworks.entry._service_request import (
+    ServiceRequest,
+    parse_head,
+    read_body,
+)
+from chiveworks.entry._service_settings import ServiceSettings
+from chiveworks.routing import (
+    AttemptError,
+    Dispatcher,
+    Request,
+    Response,
+    end_to_end,
+)
+from chiveworks.store import Store
+
+_REQUEST_ID = 'X-Request-Id'
+_UNREAD_BODY = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    )
+)
+
+
+class ServiceRoutes:
+    """Takes requests to services, from the caller to an endpoint and back.
+
+    Args:
+        catalogue: Finds entries.
+        admission: Limits what runs at once.
+        dispatcher: Reaches endpoints.
+        store: Holds claims of idempotency keys.
+        clock: Source of time.
+        settings: Bounds on requests.
+    """
+
+    def __init__(
+        self,
+        catalogue: ServiceCatalogue,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        store: Store,
+        clock: Clock,
+        settings: ServiceSettings,
+    ) -> None:
+        self._catalogue = catalogue
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._claims = RequestClaims(store, clock)
+        self._clock = clock
+        self._settings = settings
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answers one request."""
+        arrived = self._clock.monotonic()
+        parsed = parse_head(request)
+        if isinstance(parsed, Err):
+            return parsed.err_value.to_response()
+        head = parsed.ok_value
+        entry = self._catalogue.entry(head.service)
+        if entry is None:
+            failure = Failure.not_run(
+                Step.RESOLVE,
+                head.service,
+                'no service of this name is in the catalogue',
+                'check the name with `chiveworks catalogue`',
+            )
+            return _answer(head, Rejection(HTTPStatus.NOT_FOUND, failure))
+        allowed = self._allowed_time(head, entry)
+        body = await read_body(request, self._settings.body_bytes, allowed)
+        if isinstance(body, Err):
+            return _answer(head, body.err_value)
+        outgoing = Request(
+            head.service,
+            head.request_id,
+            request.method,
+            head.target,
+            arrived + allowed,
+            entry.idempotent,
+            end_to_end(request.headers),
+            body.ok_value,
+        )
+        return await self._run(request, head, entry, outgoing)
+
+    async def _run(
+        self,
+        request: web.Request,
+        head: ServiceRequest,
+        entry: ServiceEntry,
+        outgoing: Request,
+    ) -> web.StreamResponse:
+        demand = Demand(
+            head.tenant or entry.tenant,
+            head.service,
+            entry.service_class,
+            outgoing.deadline,
+            entry.rate_per_s,
+            entry.concurrency,
+        )
+        admitted = await self._admission.admit(demand)
+        if isinstance(admitted, Err):
+            return _answer(head, self._refuse(admitted.err_value, outgoing))
+        dropped = True
+        try:
+            sent = await self._send(head, demand, outgoing)
+            if isinstance(sent, Err):
+                # A key already in use says nothing about the endpoints' load.
+                dropped = sent.err_value.failure.step is not Step.CLAIM
+                return _answer(head, sent.err_value)
+            dropped = False
+            return await _pass_on(request, head, sent.ok_value)
+        finally:
+            admitted.ok_value.release(dropped)
+
+    async def _send(
+        self, head: ServiceRequest, demand: Demand, outgoing: Request
+    ) -> Result[Response, Rejection]:
+        if outgoing.idempotent or head.key is None:
+            sent = await self._dispatcher.send(outgoing)
+            return sent.map_err(lambda failure: self._refuse(failure, outgoing))
+        claimed = await self._claims.claim(
+            demand.tenant, head.service, head.key, head.request_id
+        )
+        if isinstance(claimed, Err):
+            problem = claimed.err_value
+            if isinstance(problem, RequestRecord):
+                return Err(_duplicate(head, problem))
+            return Err(Rejection(HTTPStatus.SERVICE_UNAVAILABLE, problem))
+        sent = await self._dispatcher.send(outgoing)
+        await self._record(claimed.ok_value, sent)
+        return sent.map_err(lambda failure: self._refuse(failure, outgoing))
+
+    async def _record(
+        self, claim: RequestClaim, sent: Result[Response, Failure]
+    ) -> None:
+        if isinstance(sent, Ok):
+            await self._claims.record(claim, 'answered', sent.ok_value.status)
+        elif sent.err_value.verdict is Verdict.NOT_RUN:
+            await self._claims.withdraw(claim)
+        else:
+            await self._claims.record(claim, Verdict.OUTCOME_UNKNOWN.value)
+
+    def _allowed_time(self, head: ServiceRequest, entry: ServiceEntry) -> timedelta:
+        longest = self._settings.longest_deadline
+        if entry.deadline_ms:
+            longest = timedelta(milliseconds=entry.deadline_ms)
+        return longest if head.deadline is None else min(head.deadline, longest)
+
+    def _refuse(self, failure: Failure, outgoing: Request) -> Rejection:
+        if isinstance(failure, TenantLimitFailure):
+            return Rejection(HTTPStatus.TOO_MANY_REQUESTS, failure)
+        if failure.verdict is Verdict.NOT_RUN:
+            return Rejection(HTTPStatus.SERVICE_UNAVAILABLE, failure)
+        late = self._clock.monotonic() >= outgoing.deadline
+        status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+        return Rejection(status, failure)
+
+
+def add_service_routes(
+    app: web.Application,
+    *,
+    catalogue: ServiceCatalogue,
+    admission: Admission,
+    dispatcher: Dispatcher,
+    store: Store,
+    clock: Clock,
+    settings: ServiceSettings | None = None,
+) -> None:
+    """Adds `ANY /services/SERVICE/PATH` to an application."""
+    routes = ServiceRoutes(
+        catalogue, admission, dispatcher, store, clock, settings or ServiceSettings()
+    )
+    app.router.add_route('*', '/services/{service}', routes.handle)
+    app.router.add_route('*', '/services/{service}/{path:.*}', routes.handle)
+
+
+def _answer(head: ServiceRequest, rejection: Rejection) -> web.Response:
+    response = rejection.to_response()
+    response.headers[_REQUEST_ID] = head.request_id
+    if rejection.status in _UNREAD_BODY:
+        # The rest of the body is not worth reading.
+        response.force_close()
+    return response
+
+
+def _duplicate(head: ServiceRequest, record: RequestRecord) -> Rejection:
+    failure = Failure.unknown(
+        Step.CLAIM,
+        head.service,
+        f'a request with this key exists; it is {record.state}',
+        'see "first" for what is known; this request was not sent',
+    )
+    first: dict[str, str | int] = {
+        'request_id': record.request_id,
+        'state': record.state,
+        'claimed_at': record.claimed_at,
+    }
+    if record.status:
+        first['status'] = record.status
+    return Rejection(HTTPStatus.CONFLICT, failure, 'duplicate_key', first)
+
+
+async def _pass_on(
+    request: web.Request, head: ServiceRequest, response: Response
+) -> web.StreamResponse:
+    headers = response.headers
+    headers[_REQUEST_ID] = head.request_id
+    if response.rest is None:
+        if request.method == 'HEAD' and response.length is not None:
+            headers['Content-Length'] = str(response.length)
+        return web.Response(status=response.status, headers=headers, body=response.body)
+    streamed = web.StreamResponse(status=response.status, headers=headers)
+    streamed.content_length = response.length
+    try:
+        await streamed.prepare(request)
+        await streamed.write(response.body)
+        async for part in response.rest:
+            await streamed.write(part)
+    except (AttemptError, OSError):
+        # Ends the caller's connection without an end of message, so that the
+        # caller cannot take the answer for complete.
+        if request.transport is not None:
+            request.transport.abort()
+    finally:
+        await response.rest.aclose()
+    return streamed
--- /dev/null
+++ b/chiveworks/entry/tests/test_service_routes.py
@@ -0,0 +1,198 @@
+"""Guards against bad input causing 500s, wrong verdicts and double runs."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from yarl import URL
+
+from chiveworks.entry.tests.fake_parts import Entry, FakeStore, listening
+
+
+class Endpoint:
+    """Counts the runs of each body; answers slowly on demand."""
+
+    def __init__(self) -> None:
+        self.runs: list[bytes] = []
+        self.targets: list[str] = []
+        self.delay_s = 0.0
+        self.refuse = False
+        self.cut_answer = False
+
+    def app(self) -> web.Application:
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_route('*', '/{path:.*}', self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        same = {'X-Request-Id': request.headers['X-Request-Id']}
+        if self.refuse:
+            same['X-Chiveworks-Not-Run'] = 'no slot'
+            return web.Response(status=503, headers=same)
+        body = await request.read()
+        self.runs.append(body)
+        self.targets.append(request.raw_path)
+        await asyncio.sleep(self.delay_s)
+        if self.cut_answer:
+            answer = web.StreamResponse(headers=same)
+            await answer.prepare(request)
+            await answer.write(b'x' * 1_000_000)
+            assert request.transport
+            request.transport.abort()
+            return answer
+        return web.Response(body=body, headers=same)
+
+
+@pytest.fixture
+async def parts():
+    async with AsyncExitStack() as stack:
+        endpoint = Endpoint()
+        url = await stack.enter_async_context(listening(endpoint.app()))
+        store = FakeStore()
+        entries = [
+            await stack.enter_async_context(Entry(store).serving(url)) for _ in range(2)
+        ]
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield endpoint, entries, store, session
+
+
+async def failure_of(answer: aiohttp.ClientResponse) -> tuple[str, str]:
+    error = (await answer.json())['error']
+    assert error['message']
+    assert 'Traceback' not in await answer.text()
+    return error['verdict'], error['step']
+
+
+async def test_a_request_reaches_the_service_and_comes_back_whole(parts):
+    endpoint, (entry, _), _, session = parts
+    url = f'{entry.url}/services/fast/a%2Fb/c?x=%20y'
+    headers = {'X-Request-Id': 'r1'}
+    for size in (0, 10, 3_000_000):
+        async with session.post(url, data=b'z' * size, headers=headers) as answer:
+            assert await answer.read() == b'z' * size
+            assert (answer.status, answer.headers['X-Request-Id']) == (200, 'r1')
+    assert endpoint.targets[0] == '/serve/fast/a%2Fb/c?x=%20y'
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'body', 'status'),
+    [
+        ('/services/none/x', {}, b'', 404),
+        ('/services/fast/x', {}, b'z' * 10_000_000, 413),
+        ('/services/fast/x', {'X-Chiveworks-Deadline-Ms': 'soon'}, b'', 400),
+        ('/services/fast/x', {'X-Chiveworks-Deadline-Ms': '0'}, b'', 400),
+        ('/services/fast/x', {'X-Chiveworks-Deadline-Ms': '-5'}, b'', 400),
+        ('/services/fast/x', {'X-Chiveworks-Tenant': 'a b'}, b'', 400),
+        ('/services/fast/x', {'X-Request-Id': 'x' * 300}, b'', 400),
+        ('/services/once/x', {'Idempotency-Key': ''}, b'', 400),
+        ('/services/fast/%2e%2e/%2e%2e/control/stop', {}, b'', 400),
+        ('/services/%00/x', {}, b'', 400),
+    ],
+)
+async def test_bad_input_is_refused_as_not_run(parts, path, headers, body, status):
+    endpoint, (entry, _), _, session = parts
+    url = URL(f'{entry.url}{path}', encoded=True)
+    async with session.post(url, headers=headers, data=body) as answer:
+        assert answer.status == status
+        assert (await failure_of(answer))[0] == 'not_run'
+    assert not endpoint.runs
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'POST /services/fast/x HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\nab',
+        b'POST /services/fast/x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n',
+        b'POST /services/fast/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked'
+        b'\r\n\r\nzz\r\n',
+        b'POST /services/fast/x HTTP/1.0\r\n\r\n',
+        b'GET /services/fast/x HTTP/1.1\r\nbad header\r\n\r\n',
+        b'\x00\x01\x02\r\n\r\n',
+    ],
+)
+async def test_malformed_and_cut_off_requests_never_run(parts, sent, caplog):
+    endpoint, (entry, _), _, _ = parts
+    reader, writer = await asyncio.open_connection('127.0.0.1', entry.port)
+    writer.write(sent)
+    writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    assert not answer or answer.split()[1].startswith(b'4')
+    assert b'Traceback' not in answer
+    assert not endpoint.runs
+    assert not [one for one in caplog.records if one.levelname == 'ERROR']
+
+
+async def test_refusals_and_timeouts_carry_their_verdict(parts):
+    endpoint, (entry, _), _, session = parts
+    endpoint.refuse = True
+    async with session.post(f'{entry.url}/services/once/x') as answer:
+        assert (answer.status, answer.headers['Retry-After']) == (503, '1')
+        assert await failure_of(answer) == ('not_run', 'wait')
+    endpoint.refuse, endpoint.delay_s = False, 0.5
+    await asyncio.sleep(0.05)
+    headers = {'X-Chiveworks-Deadline-Ms': '100'}
+    async with session.post(f'{entry.url}/services/once/x', headers=headers) as answer:
+        assert answer.status == 504
+        assert await failure_of(answer) == ('outcome_unknown', 'wait')
+
+
+async def test_a_truncated_large_answer_is_not_taken_for_complete(parts):
+    endpoint, (entry, _), _, session = parts
+    endpoint.cut_answer = True
+    with pytest.raises(aiohttp.ClientError):
+        async with session.post(f'{entry.url}/services/once/x') as answer:
+            await answer.read()
+
+
+async def test_a_key_used_on_two_entry_processes_at_once_runs_once(parts):
+    endpoint, entries, _, session = parts
+    endpoint.delay_s = 0.1
+
+    async def post(number: int) -> tuple[int, dict[str, Any]]:
+        url = f'{entries[number % 2].url}/services/once/x'
+        headers = {'Idempotency-Key': 'k', 'X-Request-Id': f'r{number}'}
+        async with session.post(url, headers=headers) as answer:
+            return answer.status, (await answer.json() if answer.status == 409 else {})
+
+    answers = await asyncio.gather(*map(post, range(10)))
+    assert sorted(status for status, _ in answers) == [200] + [409] * 9
+    assert len(endpoint.runs) == 1
+    status, body = await post(10)
+    assert (status, body['error']['reason']) == (409, 'duplicate_key')
+    assert body['error']['first']['status'] == 200
+
+
+@pytest.mark.parametrize('fault', ['lost_answers', 'lost_writes'])
+async def test_a_claim_with_a_lost_answer_is_settled_and_runs_once(parts, fault):
+    endpoint, (entry, _), store, session = parts
+    setattr(store, fault, 1)
+    headers = {'Idempotency-Key': 'k'}
+    for status in (200, 409):
+        url = f'{entry.url}/services/once/x'
+        async with session.post(url, headers=headers) as answer:
+            assert answer.status == status
+    assert len(endpoint.runs) == 1
+
+
+async def test_a_key_of_a_request_that_was_not_run_can_be_used_again(parts):
+    endpoint, (entry, _), store, session = parts
+    headers = {'Idempotency-Key': 'k'}
+    url = f'{entry.url}/services/once/x'
+    endpoint.refuse = True
+    async with session.post(url, headers=headers) as answer:
+        assert answer.status == 503
+    endpoint.refuse = False
+    store.away = True
+    async with session.post(url, headers=headers) as answer:
+        assert (answer.status, answer.headers['Retry-After']) == (503, '1')
+        assert await failure_of(answer) == ('not_run', 'claim')
+    store.away = False
+    # The endpoint is spared for a moment after its refusal.
+    await asyncio.sleep(0.05)
+    async with session.post(url, headers=headers) as answer:
+        assert answer.status == 200
+    assert len(endpoint.runs) == 1
--- a/chiveworks/routing/_exchange.py
+++ b/chiveworks/routing/_exchange.py
@@ -12,6 +12,7 @@
 from chiveworks.routing._attempt_end import AttemptEnd
 from chiveworks.routing._attempt_error import AttemptError
 from chiveworks.routing._headers import (
+    DEADLINE_MS,
     LEAVING,
     NOT_RUN,
     REQUEST_ID,
@@ -90,7 +91,9 @@
             answer.release()
         peer = self._lease.endpoint.instance.instance_id
         rest = None if complete else AnswerStream(answer, self._lease, self._time_left)
-        return Response(answer.status, end_to_end(answer.headers), peer, body, rest)
+        headers = end_to_end(answer.headers)
+        length = answer.content_length
+        return Response(answer.status, headers, peer, body, rest, length)
 
     async def _send(self, limit_s: float) -> aiohttp.ClientResponse:
         request = self._request
@@ -102,6 +105,7 @@
         )
         headers = CIMultiDict(request.headers)
         headers[REQUEST_ID] = request.request_id
+        headers[DEADLINE_MS] = str(max(int(self._time_left() * 1000), 0))
         return await self._lease.session.request(
             request.method,
             url,
--- a/chiveworks/routing/_headers.py
+++ b/chiveworks/routing/_headers.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDict, istr
 
+DEADLINE_MS = istr('X-Chiveworks-Deadline-Ms')
 REQUEST_ID = istr('X-Request-Id')
 NOT_RUN = istr('X-Chiveworks-Not-Run')
 LEAVING = istr('X-Chiveworks-Leaving')
--- a/chiveworks/routing/_response.py
+++ b/chiveworks/routing/_response.py
@@ -19,6 +19,7 @@
         rest: Remaining parts of a large body. It raises `AttemptError` when the
             endpoint does not complete the answer. The receiver iterates to the end
             or calls `aclose`.
+        length: Declared length of the whole body; None when it is not known.
     """
 
     status: int
@@ -26,3 +27,4 @@
     peer: str
     body: bytes
     rest: AnswerStream | None = None
+    length: int | None = None
