Measure the request path and halve its own processor time

Cause: one process sustained 2,859 requests a second at 349 us of processor time each; the test of all 24 endpoints at each choice took 22% of the profile of a request, and it grows with the number of endpoints.

- Policies get the group and a condition and look at a few endpoints; two_choices draws up to six before it looks at all.
- Bodies that came with their head are read without a timer.
- calm_collector makes full garbage collections rarer.

--- a/chiveworks/entry/__init__.py
+++ b/chiveworks/entry/__init__.py
@@ -1,5 +1,6 @@
 """The HTTP side of an entry process."""
 
+from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._drain import DrainState, run_server
 from chiveworks.entry._rejection import Rejection
 from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
@@ -18,5 +19,6 @@
     'ServiceRoutes',
     'ServiceSettings',
     'add_service_routes',
+    'calm_collector',
     'run_server',
 )
--- /dev/null
+++ b/chiveworks/entry/_collector.py
@@ -0,0 +1,21 @@
+"""Settings of Python's cyclic garbage collector for a serving process."""
+
+import gc
+
+#: Allocations that start a collection of the youngest generation. The default of
+#: 700 is reached every few requests.
+_YOUNG = 50_000
+_MIDDLE = 20
+_OLD = 100
+
+
+def calm_collector() -> None:
+    """Makes collections rarer and exempts the objects made at the start.
+
+    Call it once, after the process has been assembled and before it serves.
+    Requests leave almost no cycles; full collections are what callers notice, as a
+    higher 99th percentile.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_YOUNG, _MIDDLE, _OLD)
--- a/chiveworks/entry/_service_request.py
+++ b/chiveworks/entry/_service_request.py
@@ -73,6 +73,9 @@
     too_large = reject(413, f'the body exceeds {limit_bytes} bytes')
     if (request.content_length or 0) > limit_bytes:
         return Err(too_large)
+    if request.content.is_eof() and request.content.total_bytes <= limit_bytes:
+        # The common case: the whole body came with the head.
+        return Ok(request.content.read_nowait())
     parts: list[bytes] = []
     size = 0
     try:
--- a/chiveworks/routing/_endpoint.py
+++ b/chiveworks/routing/_endpoint.py
@@ -24,6 +24,7 @@
         instance: The worker as listed.
         settings: Parameters of ejection and slow start.
         in_flight: Requests of this process that the endpoint is working on.
+        capacity: Requests that the endpoint takes at once.
         leaving: The endpoint announced that it leaves, or is listed so.
         probing: Its connections were dropped and no probe has been answered yet.
         failures: Consecutive failures.
@@ -38,6 +39,7 @@
     instance: Instance
     settings: RoutingSettings
     in_flight: int = 0
+    capacity: int = field(init=False)
     leaving: bool = False
     probing: bool = False
     failures: int = 0
@@ -48,15 +50,22 @@
     paused_until: timedelta = _NEVER
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
 
-    @property
-    def capacity(self) -> int:
-        """Requests that the endpoint takes at once."""
-        return min(self.instance.slots, self.instance.connections)
+    def __post_init__(self) -> None:
+        self.relist(self.instance)
+
+    def relist(self, instance: Instance) -> None:
+        """Takes over a changed entry of the instance list."""
+        self.instance = instance
+        self.capacity = min(instance.slots, instance.connections)
 
     def is_ejected(self, now: timedelta) -> bool:
         """Tells whether an ejection is in force or a probe is unanswered."""
         return self.probing or now < self.ejected_until
 
+    def takes_work(self, now: timedelta) -> bool:
+        """Tells whether the endpoint serves and has room."""
+        return not self.leaving and self.is_serving() and self.has_room(now)
+
     def is_serving(self) -> bool:
         """Tells whether the endpoint may get new work at all."""
         listed = self.instance.state is InstanceState.LIVE
@@ -66,7 +75,10 @@
         """Tells whether a slot and a connection are free, slow start considered."""
         if now < self.paused_until:
             return False
-        return self.in_flight < max(1, int(self.capacity * self.warmth(now)))
+        warmth = self.warmth(now)
+        if warmth == 1:
+            return self.in_flight < self.capacity
+        return self.in_flight < max(1, int(self.capacity * warmth))
 
     def warmth(self, now: timedelta) -> float:
         """Returns the share of its capacity that slow start allows, up to 1."""
--- a/chiveworks/routing/_endpoint_table.py
+++ b/chiveworks/routing/_endpoint_table.py
@@ -34,6 +34,7 @@
         self._settings = settings
         self._is_in_service = is_in_service
         self._revision = -1
+        self._withheld: set[Endpoint] = set()
         self._endpoints: dict[str, Endpoint] = {}
         self._zones: dict[EntryName, list[tuple[ZoneName, list[Endpoint]]]] = {}
 
@@ -55,19 +56,29 @@
 
     def endpoints(self, service: EntryName) -> tuple[Endpoint, ...]:
         """Returns the service's endpoints that may get work, ejected ones included."""
-        return tuple(endpoint for _, group in self.zones(service) for endpoint in group)
+        return tuple(
+            endpoint
+            for _, group in self.zones(service)
+            for endpoint in group
+            if endpoint.is_serving()
+        )
 
     def zones(self, service: EntryName) -> list[tuple[ZoneName, list[Endpoint]]]:
-        """Returns serving endpoints by zone in service, the nearest zone first."""
+        """Returns listed endpoints by zone in service, the nearest zone first.
+
+        Leaving endpoints are among them; see `Endpoint.takes_work`.
+        """
         return [
-            (zone, [endpoint for endpoint in group if endpoint.is_serving()])
-            for zone, group in self._zones.get(service, ())
-            if self._is_in_service(zone)
+            zone_group
+            for zone_group in self._zones.get(service, ())
+            if self._is_in_service(zone_group[0])
         ]
 
-    def serves(self, endpoint: Endpoint) -> bool:
-        """Tells whether the endpoint may get new work at this moment."""
-        return endpoint.is_serving() and self._is_in_service(endpoint.instance.zone)
+    def withholds(self, now: timedelta) -> bool:
+        """Tells whether any endpoint is ejected or probed."""
+        if self._withheld:
+            self._withheld = {one for one in self._withheld if one.is_ejected(now)}
+        return bool(self._withheld)
 
     def knows(self, service: EntryName) -> bool:
         """Tells whether any listed endpoint runs the service."""
@@ -82,6 +93,7 @@
         if not self._may_withhold(endpoint):
             return False
         endpoint.eject(self._clock.monotonic())
+        self._withheld.add(endpoint)
         return True
 
     def start_probe(self, endpoint: Endpoint) -> bool:
@@ -89,6 +101,7 @@
         if endpoint.probing or not self._may_withhold(endpoint):
             return False
         endpoint.probing = True
+        self._withheld.add(endpoint)
         return True
 
     def _may_withhold(self, endpoint: Endpoint) -> bool:
@@ -118,7 +131,7 @@
             # "live" may be older than the announcement.
             known.leaving = False
             known.returned_at = self._clock.monotonic()
-        known.instance = instance
+        known.relist(instance)
 
     def _index(self) -> None:
         grouped: dict[EntryName, dict[ZoneName, list[Endpoint]]] = {}
--- a/chiveworks/routing/_exchange.py
+++ b/chiveworks/routing/_exchange.py
@@ -135,9 +135,13 @@
         """Returns the body, or a large one's first part, and whether it is all."""
         if not self._has_body(answer):
             return b'', True
+        limit = self._settings.buffer_bytes
+        if answer.content.is_eof() and answer.content.total_bytes <= limit:
+            # The common case: the whole answer came with its head.
+            return answer.content.read_nowait(), True
         parts: list[bytes] = []
         size = 0
-        while size <= self._settings.buffer_bytes:
+        while size <= limit:
             part = await answer.content.readany()
             if not part:
                 return b''.join(parts), True
--- a/chiveworks/routing/_policy.py
+++ b/chiveworks/routing/_policy.py
@@ -1,6 +1,6 @@
 """Interchangeable choice of an endpoint within a zone."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -9,10 +9,15 @@
 
 
 class RoutingPolicy(Protocol):
-    """Chooses among endpoints that have room."""
+    """Chooses among the endpoints of a zone."""
 
-    def choose(self, candidates: Sequence[Endpoint], now: timedelta) -> Endpoint | None:
-        """Returns one of the candidates, or None when there are none."""
+    def choose(
+        self,
+        group: Sequence[Endpoint],
+        accepts: Callable[[Endpoint], bool],
+        now: timedelta,
+    ) -> Endpoint | None:
+        """Returns an endpoint that is accepted, or None when none is."""
 
 
 ROUTING_POLICIES: Registry[RoutingPolicy] = Registry('routing policy')
--- a/chiveworks/routing/_round_robin.py
+++ b/chiveworks/routing/_round_robin.py
@@ -1,6 +1,6 @@
 """Endpoints in turn, as a baseline."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from chiveworks.routing._endpoint import Endpoint
@@ -9,14 +9,21 @@
 
 @ROUTING_POLICIES.register('round_robin')
 class RoundRobin:
-    """Takes the candidates in turn, whatever their load."""
+    """Takes the endpoints in turn, whatever their load."""
 
     def __init__(self) -> None:
         self._turn = 0
 
-    def choose(self, candidates: Sequence[Endpoint], now: timedelta) -> Endpoint | None:
-        """Returns the next candidate in turn."""
-        if not candidates:
-            return None
-        self._turn += 1
-        return candidates[self._turn % len(candidates)]
+    def choose(
+        self,
+        group: Sequence[Endpoint],
+        accepts: Callable[[Endpoint], bool],
+        now: timedelta,
+    ) -> Endpoint | None:
+        """Returns the next accepted endpoint in turn."""
+        for _ in group:
+            self._turn += 1
+            candidate = group[self._turn % len(group)]
+            if accepts(candidate):
+                return candidate
+        return None
--- a/chiveworks/routing/_router.py
+++ b/chiveworks/routing/_router.py
@@ -1,6 +1,6 @@
 """Choice of zone and endpoint."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 from chiveworks.base import Clock, EntryName
@@ -9,8 +9,8 @@
 from chiveworks.routing._policy import RoutingPolicy
 
 _MS = timedelta(milliseconds=1)
-#: Load of a zone's free endpoints from which the next zone is compared by latency.
-#: Other entry processes load them as well, so their queues start below full load.
+#: Load of the chosen endpoint from which the next zone is compared by latency.
+#: Other entry processes load it as well, so its queue starts below full load.
 _SPILL_LOAD = 0.5
 
 
@@ -34,28 +34,34 @@
             excluded: Endpoints already tried; used again only as a last resort.
         """
         now = self._clock.monotonic()
-        zones = self._table.zones(service)
-        kept = _usable([endpoint for _, group in zones for endpoint in group], now)
+        accepts = self._acceptance(service, excluded, now)
         best: Endpoint | None = None
         best_cost = float('inf')
-        for zone, group in zones:
-            free = [one for one in group if one in kept and one.has_room(now)]
-            fresh = [one for one in free if one not in excluded]
-            chosen = self._policy.choose(fresh, now)
-            if chosen is not None:
-                cost = chosen.cost(now) + self._table.zone_latency(zone) / _MS
-                if cost < best_cost:
-                    best, best_cost = chosen, cost
-                if _load(free) < _SPILL_LOAD:
-                    break
+        for zone, group in self._table.zones(service):
+            chosen = self._policy.choose(group, accepts, now)
+            if chosen is None:
+                continue
+            cost = chosen.cost(now) + self._table.zone_latency(zone) / _MS
+            if cost < best_cost:
+                best, best_cost = chosen, cost
+            if chosen.in_flight < chosen.capacity * _SPILL_LOAD:
+                break
         if best is None and excluded:
             return self.pick(service)
         return best
 
+    def _acceptance(
+        self, service: EntryName, excluded: Collection[Endpoint], now: timedelta
+    ) -> Callable[[Endpoint], bool]:
+        """Returns the condition on endpoints, which the policy applies.
 
-def _load(group: Sequence[Endpoint]) -> float:
-    capacity = sum(endpoint.capacity for endpoint in group)
-    return sum(endpoint.in_flight for endpoint in group) / max(capacity, 1)
+        Policies look at a few endpoints only; a test of all of them took a fifth of
+        the time of a request with 24 endpoints.
+        """
+        if not self._table.withholds(now):
+            return lambda one: one.takes_work(now) and one not in excluded
+        usable = _usable(self._table.endpoints(service), now)
+        return lambda one: one in usable and one.takes_work(now) and one not in excluded
 
 
 def _usable(group: Sequence[Endpoint], now: timedelta) -> set[Endpoint]:
--- a/chiveworks/routing/_two_choices.py
+++ b/chiveworks/routing/_two_choices.py
@@ -1,16 +1,19 @@
 """Power of two choices."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from chiveworks.routing._endpoint import Endpoint
 from chiveworks.routing._policy import ROUTING_POLICIES
 
+#: Draws made before all endpoints are looked at.
+_DRAWS = 6
+
 
 @ROUTING_POLICIES.register('two_choices')
 class TwoChoices:
-    """Draws two candidates and takes the one with the lower expected latency.
+    """Draws two endpoints and takes the one with the lower expected latency.
 
     Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing" (2001).
     """
@@ -18,9 +21,32 @@
     def __init__(self, seed: int | None = None) -> None:
         self._random = random.Random(seed)  # noqa: S311 - not for secrets
 
-    def choose(self, candidates: Sequence[Endpoint], now: timedelta) -> Endpoint | None:
-        """Returns the better of two candidates drawn at random."""
-        if len(candidates) < 2:
-            return candidates[0] if candidates else None
-        first, second = self._random.sample(candidates, 2)
+    def choose(
+        self,
+        group: Sequence[Endpoint],
+        accepts: Callable[[Endpoint], bool],
+        now: timedelta,
+    ) -> Endpoint | None:
+        """Returns the better of two accepted endpoints drawn at random."""
+        if not group:
+            return None
+        drawn = self._draw(group, accepts)
+        if len(drawn) < 2:
+            accepted = [one for one in group if accepts(one)]
+            drawn = self._random.sample(accepted, min(len(accepted), 2))
+        if len(drawn) < 2:
+            return drawn[0] if drawn else None
+        first, second = drawn
         return first if first.cost(now) <= second.cost(now) else second
+
+    def _draw(
+        self, group: Sequence[Endpoint], accepts: Callable[[Endpoint], bool]
+    ) -> list[Endpoint]:
+        drawn: list[Endpoint] = []
+        for _ in range(_DRAWS):
+            candidate = group[int(self._random.random() * len(group))]
+            if candidate not in drawn and accepts(candidate):
+                drawn.append(candidate)
+                if len(drawn) == 2:
+                    break
+        return drawn
