Settle claims after store outages and bound held bodies

Cause: an outcome that could not be recorded, or a claim write that took effect after its request had been refused, left a key that looked running for good; bodies are read before admission, so nothing bounded their sum.

An answered probe no longer starts a slow start: the connections were at fault, and under overload the lost capacity would add to it.

--- a/chiveworks/entry/_request_claim.py
+++ b/chiveworks/entry/_request_claim.py
@@ -1,6 +1,8 @@
 """Claims of idempotency keys in the store."""
 
+import asyncio
 import uuid
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
@@ -21,9 +23,17 @@
 from chiveworks.store import Store, StoreConflict, StoreEntry
 
 _PREFIX = 'requests/'
-#: Writes tried until the claim's fate is known, and until an outcome is recorded.
+#: Writes tried until the claim's fate is known.
 _TRIES = 3
 _PAUSE = timedelta(milliseconds=50)
+_LONGEST_PAUSE = timedelta(seconds=5)
+#: With the pauses above, a claim that appears late is looked for over about a minute.
+_REMOVAL_TRIES = 18
+#: Bounds the memory that a long outage of the store costs. A key beyond it stays
+#: claimed, which is safe: nothing runs twice.
+_MOST_BACKGROUND = 10_000
+
+_Write = Callable[[], Awaitable[Result[Revision, Failure | StoreConflict]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +93,7 @@
     def __init__(self, store: Store, clock: Clock) -> None:
         self._store = store
         self._clock = clock
+        self._background: set[asyncio.Task[None]] = set()
 
     async def claim(
         self, tenant: TenantName, service: EntryName, key: str, request_id: RequestId
@@ -99,53 +110,92 @@
         record = RequestRecord(nonce, request_id, 'running', 0, at)
         return await self._create(f'{_PREFIX}{digest}', record)
 
-    async def record(self, claim: RequestClaim, state: str, status: int = 0) -> bool:
-        """Records an outcome; tells whether the store has it."""
+    async def record(self, claim: RequestClaim, state: str, status: int = 0) -> None:
+        """Records an outcome; goes on trying in the background if the store is away."""
         old = claim.record
         new = RequestRecord(old.nonce, old.request_id, state, status, old.claimed_at)
-        for _ in range(_TRIES):
-            written = await self._store.compare_and_swap(
-                claim.key, new.pack(), claim.revision
-            )
-            if written.is_ok() or isinstance(written.err(), StoreConflict):
-                # A conflict means that an earlier try took effect after all:
-                # nobody else changes the record.
-                return True
-            await self._clock.sleep(_PAUSE)
-        return False
+        await self._settle_soon(
+            lambda: self._store.compare_and_swap(claim.key, new.pack(), claim.revision)
+        )
 
-    async def withdraw(self, claim: RequestClaim) -> bool:
+    async def withdraw(self, claim: RequestClaim) -> None:
         """Frees the key of a request that was not run, for another try."""
-        for _ in range(_TRIES):
-            deleted = await self._store.delete(claim.key, claim.revision)
-            if deleted.is_ok() or isinstance(deleted.err(), StoreConflict):
-                return True
-            await self._clock.sleep(_PAUSE)
-        return False
+        await self._settle_soon(lambda: self._store.delete(claim.key, claim.revision))
+
+    async def close(self) -> None:
+        """Ends the tries in the background."""
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
+    async def _settle_soon(self, write: _Write) -> None:
+        if not await _is_settled(write):
+            self._start(self._settle_later(write))
+
+    async def _settle_later(self, write: _Write) -> None:
+        pause = _PAUSE
+        while True:
+            await self._clock.sleep(pause)
+            if await _is_settled(write):
+                return
+            pause = min(pause * 2, _LONGEST_PAUSE)
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        if len(self._background) >= _MOST_BACKGROUND:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _remove_own(self, key: str, nonce: str) -> None:
+        """Removes a claim whose write took effect after the request was refused."""
+        for attempt in range(_REMOVAL_TRIES):
+            await self._clock.sleep(min(_PAUSE * 2**attempt, _LONGEST_PAUSE))
+            found = await self._read(key)
+            if isinstance(found, Ok):
+                entry = found.ok_value
+                if entry and RequestRecord.unpack(entry.value).nonce == nonce:
+                    await self._store.delete(key, entry.mod_revision)
 
     async def _create(
         self, key: str, record: RequestRecord
     ) -> Result[RequestClaim, RequestRecord | Failure]:
-        failure = Failure.not_run(Step.CLAIM, 'store', 'the claim was not confirmed')
+        failure = Failure.not_run(Step.CLAIM, 'store', 'the claim was not tried')
+        uncertain = False
         for _ in range(_TRIES):
-            written = await self._store.compare_and_swap(
-                key, record.pack(), Revision(0)
-            )
-            if isinstance(written, Ok):
-                return Ok(RequestClaim(key, written.ok_value, record))
-            problem = written.err_value
-            if isinstance(problem, Failure):
-                failure = problem
-                if problem.verdict is Verdict.NOT_RUN:
-                    break
-            # The answer was lost, or somebody holds the key, perhaps this very
-            # request by an earlier write whose answer was lost.
-            holder = await self._read(key)
-            if isinstance(holder, Ok) and holder.ok_value is not None:
-                return _settle(holder.ok_value, record)
+            created = await self._try_create(key, record)
+            problem = created.err()
+            if not isinstance(problem, Failure):
+                return created
+            failure = problem
+            uncertain = uncertain or problem.verdict is Verdict.OUTCOME_UNKNOWN
+            if not uncertain:
+                break
             await self._clock.sleep(_PAUSE)
+        if uncertain:
+            self._start(self._remove_own(key, record.nonce))
         return Err(_as_not_run(failure))
 
+    async def _try_create(
+        self, key: str, record: RequestRecord
+    ) -> Result[RequestClaim, RequestRecord | Failure]:
+        written = await self._store.compare_and_swap(key, record.pack(), Revision(0))
+        if isinstance(written, Ok):
+            return Ok(RequestClaim(key, written.ok_value, record))
+        problem = written.err_value
+        if isinstance(problem, Failure) and problem.verdict is Verdict.NOT_RUN:
+            return Err(problem)
+        # The answer was lost, or somebody holds the key, perhaps this very request
+        # by an earlier write whose answer was lost.
+        holder = await self._read(key)
+        if isinstance(holder, Ok) and holder.ok_value is not None:
+            return _settle(holder.ok_value, record)
+        if isinstance(problem, Failure):
+            return Err(problem)
+        text = 'the key is in use, but its holder cannot be read'
+        return Err(Failure.not_run(Step.CLAIM, 'store', text))
+
     async def _read(self, key: str) -> Result[StoreEntry | None, Failure]:
         found = await self._store.fetch(key)
         return found.map(lambda read: read.first())
@@ -160,6 +210,13 @@
     return Err(record)
 
 
+async def _is_settled(write: _Write) -> bool:
+    written = await write()
+    # A conflict means that an earlier try took effect although its answer was lost:
+    # nobody else changes the record.
+    return written.is_ok() or isinstance(written.err(), StoreConflict)
+
+
 def _as_not_run(failure: Failure) -> Failure:
     return Failure.not_run(
         Step.CLAIM,
--- a/chiveworks/entry/_service_routes.py
+++ b/chiveworks/entry/_service_routes.py
@@ -62,6 +62,7 @@
         self._claims = RequestClaims(store, clock)
         self._clock = clock
         self._settings = settings
+        self._held_bytes = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answers one request."""
@@ -80,6 +81,30 @@
             )
             return _answer(head, Rejection(HTTPStatus.NOT_FOUND, failure))
         allowed = self._allowed_time(head, entry)
+        # A body of unknown length counts with the largest it may have.
+        size = request.content_length
+        if size is None:
+            size = self._settings.body_bytes if request.body_exists else 0
+        if self._held_bytes + size > self._settings.bodies_bytes:
+            return _answer(head, _too_many_bodies(head))
+        self._held_bytes += size
+        try:
+            return await self._read_and_run(request, head, entry, arrived + allowed)
+        finally:
+            self._held_bytes -= size
+
+    async def close(self) -> None:
+        """Ends work in the background."""
+        await self._claims.close()
+
+    async def _read_and_run(
+        self,
+        request: web.Request,
+        head: ServiceRequest,
+        entry: ServiceEntry,
+        deadline: timedelta,
+    ) -> web.StreamResponse:
+        allowed = deadline - self._clock.monotonic()
         body = await read_body(request, self._settings.body_bytes, allowed)
         if isinstance(body, Err):
             return _answer(head, body.err_value)
@@ -88,7 +113,7 @@
             head.request_id,
             request.method,
             head.target,
-            arrived + allowed,
+            deadline,
             entry.idempotent,
             end_to_end(request.headers),
             body.ok_value,
@@ -183,6 +208,11 @@
     routes = ServiceRoutes(
         catalogue, admission, dispatcher, store, clock, settings or ServiceSettings()
     )
+
+    async def close(_: web.Application) -> None:
+        await routes.close()
+
+    app.on_cleanup.append(close)
     app.router.add_route('*', '/services/{service}', routes.handle)
     app.router.add_route('*', '/services/{service}/{path:.*}', routes.handle)
 
@@ -196,6 +226,16 @@
     return response
 
 
+def _too_many_bodies(head: ServiceRequest) -> Rejection:
+    failure = Failure.not_run(
+        Step.ADMIT,
+        head.service,
+        'too many bytes of request bodies are held',
+        'try again after a short wait',
+    )
+    return Rejection(HTTPStatus.SERVICE_UNAVAILABLE, failure)
+
+
 def _duplicate(head: ServiceRequest, record: RequestRecord) -> Rejection:
     failure = Failure.unknown(
         Step.CLAIM,
--- a/chiveworks/entry/tests/fake_parts.py
+++ b/chiveworks/entry/tests/fake_parts.py
@@ -40,6 +40,7 @@
     lost_answers: int = 0
     lost_writes: int = 0
     away: bool = False
+    away_after_writes: bool = False
 
     async def fetch(self, key):
         await asyncio.sleep(0)
@@ -63,6 +64,7 @@
         now = Revision(self.revision)
         created = old.create_revision if old else now
         self.kept[key] = StoreEntry(key, value, now, created)
+        self.away = self.away_after_writes
         if self.lost_answers:
             self.lost_answers -= 1
             return Err(Failure.unknown(Step.STORE_WRITE, 'store', 'lost'))
--- a/chiveworks/entry/tests/test_service_routes.py
+++ b/chiveworks/entry/tests/test_service_routes.py
@@ -196,3 +196,51 @@
     async with session.post(url, headers=headers) as answer:
         assert answer.status == 200
     assert len(endpoint.runs) == 1
+
+
+async def test_outcomes_are_recorded_when_the_store_returns_after_an_outage(parts):
+    """Otherwise a key would look as if its request were running for good."""
+    endpoint, (entry, _), store, session = parts
+    endpoint.delay_s = 0.1
+    headers = {'Idempotency-Key': 'k'}
+    url = f'{entry.url}/services/once/x'
+    running = asyncio.ensure_future(session.post(url, headers=headers))
+    while not endpoint.runs:
+        await asyncio.sleep(0.01)
+    store.away = True
+    assert (await running).status == 200
+    store.away = False
+    await asyncio.sleep(0.2)
+    async with session.post(url, headers=headers) as answer:
+        assert (await answer.json())['error']['first']['status'] == 200
+
+
+async def test_a_claim_that_appears_after_its_request_was_refused_is_removed(parts):
+    endpoint, (entry, _), store, session = parts
+    store.lost_answers = 1
+    headers = {'Idempotency-Key': 'k'}
+    url = f'{entry.url}/services/once/x'
+    store.away_after_writes = True
+    async with session.post(url, headers=headers) as answer:
+        assert (answer.status, await failure_of(answer)) == (503, ('not_run', 'claim'))
+    assert store.kept
+    store.away_after_writes = store.away = False
+    await asyncio.sleep(0.3)
+    async with session.post(url, headers=headers) as answer:
+        assert answer.status == 200
+    assert len(endpoint.runs) == 1
+
+
+async def test_bodies_held_in_all_are_bounded(parts):
+    endpoint, (entry, _), _, session = parts
+    endpoint.delay_s = 0.5
+
+    async def post() -> int:
+        url = f'{entry.url}/services/fast/x'
+        async with session.post(url, data=b'z' * 4_000_000) as answer:
+            await answer.read()
+            return int(answer.status)
+
+    statuses = await asyncio.gather(*(post() for _ in range(24)))
+    assert 503 in statuses
+    assert 200 in statuses
--- a/chiveworks/routing/_dispatcher.py
+++ b/chiveworks/routing/_dispatcher.py
@@ -184,7 +184,7 @@
         pause = _PROBE_PAUSE
         while endpoint.probing and not endpoint.leaving:
             if await self._answers(endpoint):
-                endpoint.end_probe(self._clock.monotonic())
+                endpoint.end_probe()
                 return
             self._connections.retire(endpoint)
             await self._connections.close_unused()
--- a/chiveworks/routing/_endpoint.py
+++ b/chiveworks/routing/_endpoint.py
@@ -124,11 +124,14 @@
             self.latency.partial_fit(now, latency, self.settings.latency_half_life)
         return self.failures >= self.settings.failures_to_eject
 
-    def end_probe(self, now: timedelta) -> None:
-        """Notes an answered probe; slow start begins."""
+    def end_probe(self) -> None:
+        """Notes an answered probe.
+
+        There is no slow start: the connections were at fault, not the endpoint, and
+        under overload a tenth of the capacity would make matters worse.
+        """
         self.probing = False
         self.timeouts = 0
-        self.returned_at = now
 
     def eject(self, now: timedelta) -> None:
         """Ejects the endpoint, each time for twice as long up to a limit."""
