Test that random faults never run a request twice

400 non-idempotent requests (POST, GET, PUT) over reused connections to four endpoints of which 30% of the answers fail in one of six ways; runs are counted at the endpoints and compared with each verdict.

--- a/chiveworks/routing/tests/test_dispatcher.py
+++ b/chiveworks/routing/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
 
@@ -248,3 +249,47 @@
             sent = await dispatcher.send(request(idempotent, timeout_s=0.4))
     assert sent.is_ok() == idempotent
     assert (len(slow.requests), len(good.requests)) == (1, idempotent)
+
+
+async def test_no_request_runs_twice_or_is_wrongly_reported_under_random_faults():
+    """Counts runs at the endpoints; connections are reused, so faults hit old ones."""
+    draw = random.Random(11)
+    runs: Counter[str] = Counter()
+    faults = [
+        raw.refuses,
+        raw.reset_unanswered,
+        raw.reset_after_headers,
+        raw.truncated,
+        raw.wrong_id,
+        raw.never,
+    ]
+
+    async def unreliable(head, reader, writer) -> bool:
+        fault = draw.choice(faults) if draw.random() < 0.3 else raw.healthy
+        if fault is not raw.refuses:
+            runs[raw.request_id(head).decode()] += 1
+        await asyncio.sleep(draw.uniform(0, 0.01))
+        return await fault(head, reader, writer)
+
+    servers = [raw.RawServer(unreliable) for _ in range(4)]
+    async with AsyncExitStack() as stack:
+        for server in servers:
+            await stack.enter_async_context(server.serving())
+        urls = [server.url for server in servers]
+        options = {'policy': 'two_choices', 'retry_reserve': 1000}
+        dispatcher, _ = await stack.enter_async_context(dispatching(*urls, **options))
+
+        async def one(number: int) -> Verdict | None:
+            method = draw.choice(['POST', 'GET', 'PUT'])
+            sent = await dispatcher.send(
+                request(timeout_s=0.5, number=number, method=method)
+            )
+            verdict = None if sent.is_ok() else sent.unwrap_err().verdict
+            assert runs[f'r{number}'] == (verdict is not Verdict.NOT_RUN)
+            return verdict
+
+        verdicts: Counter[Verdict | None] = Counter()
+        for start in range(0, 400, 40):
+            verdicts.update(await asyncio.gather(*map(one, range(start, start + 40))))
+    assert verdicts[None] > 200
+    assert verdicts[Verdict.OUTCOME_UNKNOWN] > 20
