--- a/chiveworks/routing/tests/test_dispatcher.py
+++ b/chiveworks/routing/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
 
@@ -168,6 +169,16 @@
             assert all(sent.is_ok() for sent in done)
 
 
+async def test_connections_idle_for_too_long_are_not_used_again():
+    server = raw.RawServer(raw.healthy)
+    options = {'idle_limit': timedelta(milliseconds=50)}
+    async with server.serving(), dispatching(server.url, **options) as (sender, _):
+        for pause_s, connections in ((0, 1), (0, 1), (0.1, 2)):
+            await asyncio.sleep(pause_s)
+            assert (await sender.send(request())).is_ok()
+            assert server.connections == connections
+
+
 async def test_concurrent_requests_get_their_own_complete_answers():
     """Answers arrive in random order; small and streamed ones are mixed."""
     draw = random.Random(7)
@@ -238,3 +249,47 @@
             sent = await dispatcher.send(request(idempotent, timeout_s=0.4))
     assert sent.is_ok() == idempotent
     assert (len(slow.requests), len(good.requests)) == (1, idempotent)
+
+
+async def test_no_request_runs_twice_or_is_wrongly_reported_under_random_faults():
+    """Counts runs at the endpoints; connections are reused, so faults hit old ones."""
+    draw = random.Random(11)
+    runs: Counter[str] = Counter()
+    faults = [
+        raw.refuses,
+        raw.reset_unanswered,
+        raw.reset_after_headers,
+        raw.truncated,
+        raw.wrong_id,
+        raw.never,
+    ]
+
+    async def unreliable(head, reader, writer) -> bool:
+        fault = draw.choice(faults) if draw.random() < 0.3 else raw.healthy
+        if fault is not raw.refuses:
+            runs[raw.request_id(head).decode()] += 1
+        await asyncio.sleep(draw.uniform(0, 0.01))
+        return await fault(head, reader, writer)
+
+    servers = [raw.RawServer(unreliable) for _ in range(4)]
+    async with AsyncExitStack() as stack:
+        for server in servers:
+            await stack.enter_async_context(server.serving())
+        urls = [server.url for server in servers]
+        options = {'policy': 'two_choices', 'retry_reserve': 1000}
+        dispatcher, _ = await stack.enter_async_context(dispatching(*urls, **options))
+
+        async def one(number: int) -> Verdict | None:
+            method = draw.choice(['POST', 'GET', 'PUT'])
+            sent = await dispatcher.send(
+                request(timeout_s=0.5, number=number, method=method)
+            )
+            verdict = None if sent.is_ok() else sent.unwrap_err().verdict
+            assert runs[f'r{number}'] == (verdict is not Verdict.NOT_RUN)
+            return verdict
+
+        verdicts: Counter[Verdict | None] = Counter()
+        for start in range(0, 400, 40):
+            verdicts.update(await asyncio.gather(*map(one, range(start, start + 40))))
+    assert verdicts[None] > 200
+    assert verdicts[Verdict.OUTCOME_UNKNOWN] > 20
