Create a bench's processes in the machine's event loop

Cause: a process created outside the loop failed the state machine. Change: the bench takes the loop to run in.

--- a/chiveworks/entry/__init__.py
+++ b/chiveworks/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._drain import DrainState, run_server
+from chiveworks.entry._entry_process import run_entry
 from chiveworks.entry._rejection import Rejection
 from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
 from chiveworks.entry._service_catalogue import ServiceCatalogue, ServiceEntry
@@ -20,5 +21,6 @@
     'ServiceSettings',
     'add_service_routes',
     'calm_collector',
+    'run_entry',
     'run_server',
 )
--- a/chiveworks/scheduler/tests/shard_bench.py
+++ b/chiveworks/scheduler/tests/shard_bench.py
@@ -131,6 +131,7 @@
     seed: int = 1
     timings: SchedulerTimings = field(default_factory=SchedulerTimings)
     clock: ManualClock = field(default_factory=ManualClock)
+    loop: asyncio.AbstractEventLoop | None = None
 
     def __post_init__(self) -> None:
         self.engine = StoreEngine(self.clock)
@@ -207,7 +208,8 @@
             local,
             ShardCandidate(environment),
         )
-        process.task = asyncio.ensure_future(process.candidate.run())
+        loop = self.loop or asyncio.get_running_loop()
+        process.task = loop.create_task(process.candidate.run())
         self.processes.append(process)
         return process
 
--- a/chiveworks/scheduler/tests/test_shard_machine.py
+++ b/chiveworks/scheduler/tests/test_shard_machine.py
@@ -35,7 +35,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.loop = asyncio.new_event_loop()
-        self.bench = ShardBench(zones=ZONES, timings=TIMINGS)
+        # Killed processes leave tasks behind on purpose.
+        self.loop.set_exception_handler(lambda _loop, _context: None)
+        self.bench = ShardBench(zones=ZONES, timings=TIMINGS, loop=self.loop)
         self.submitted = {}
         self.accepted = {}
         self.cancelled_ms = {}
@@ -168,9 +170,7 @@
 
     def strict_ids(self):
         return {
-            job_id_of(one)
-            for one in self.submitted.values()
-            if one.entry == 'strict'
+            job_id_of(one) for one in self.submitted.values() if one.entry == 'strict'
         }
 
     def heal(self):
