--- a/chiveworks/entry/__init__.py
+++ b/chiveworks/entry/__init__.py
@@ -3,7 +3,8 @@
 from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._drain import DrainState, run_server
 from chiveworks.entry._rejection import Rejection
-from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
+from chiveworks.entry._request_claims import RequestClaims
+from chiveworks.entry._request_record import RequestClaim, RequestRecord
 from chiveworks.entry._service_catalogue import ServiceCatalogue, ServiceEntry
 from chiveworks.entry._service_routes import ServiceRoutes, add_service_routes
 from chiveworks.entry._service_settings import ServiceSettings
--- /dev/null
+++ b/chiveworks/entry/_answer.py
@@ -0,0 +1,35 @@
+"""Passing on of endpoints' answers."""
+
+from aiohttp import web
+
+from chiveworks.base import RequestId
+from chiveworks.routing import AttemptError, Response
+
+_REQUEST_ID = 'X-Request-Id'
+
+
+async def pass_on(
+    request: web.Request, request_id: RequestId, response: Response
+) -> web.StreamResponse:
+    """Sends an endpoint's answer to the caller; a large one as it arrives."""
+    headers = response.headers
+    headers[_REQUEST_ID] = request_id
+    if response.rest is None:
+        if request.method == 'HEAD' and response.length is not None:
+            headers['Content-Length'] = str(response.length)
+        return web.Response(status=response.status, headers=headers, body=response.body)
+    streamed = web.StreamResponse(status=response.status, headers=headers)
+    streamed.content_length = response.length
+    try:
+        await streamed.prepare(request)
+        await streamed.write(response.body)
+        async for part in response.rest:
+            await streamed.write(part)
+    except (AttemptError, OSError):
+        # Ends the caller's connection without an end of message, so that the
+        # caller cannot take the answer for complete.
+        if request.transport is not None:
+            request.transport.abort()
+    finally:
+        await response.rest.aclose()
+    return streamed
--- a/chiveworks/entry/_request_claim.py
+++ b/chiveworks/entry/_request_claims.py
@@ -3,10 +3,8 @@
 import asyncio
 import uuid
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-import msgpack
 import xxhash
 from result import Err, Ok, Result
 
@@ -20,6 +18,7 @@
     TenantName,
     Verdict,
 )
+from chiveworks.entry._request_record import RequestClaim, RequestRecord
 from chiveworks.store import Store, StoreConflict, StoreEntry
 
 _PREFIX = 'requests/'
@@ -36,57 +35,6 @@
 _Write = Callable[[], Awaitable[Result[Revision, Failure | StoreConflict]]]
 
 
-@dataclass(frozen=True, slots=True)
-class RequestRecord:
-    """What the store holds about a key.
-
-    Attributes:
-        nonce: Tells the writer's own claim from another's.
-        request_id: Id of the request that holds the key.
-        state: `running`, `answered` or `outcome_unknown`.
-        status: HTTP status of the answer, 0 until there is one.
-        claimed_at: Wall-clock time of the claim, for people.
-    """
-
-    nonce: str
-    request_id: RequestId
-    state: str
-    status: int
-    claimed_at: str
-
-    def pack(self) -> bytes:
-        """Returns the stored form."""
-        fields = (
-            self.nonce,
-            self.request_id,
-            self.state,
-            self.status,
-            self.claimed_at,
-        )
-        return bytes(msgpack.packb(fields))
-
-    @classmethod
-    def unpack(cls, stored: bytes) -> 'RequestRecord':
-        """Reads the stored form."""
-        nonce, request_id, state, status, claimed_at = msgpack.unpackb(stored)
-        return cls(nonce, request_id, state, status, claimed_at)
-
-
-@dataclass(frozen=True, slots=True)
-class RequestClaim:
-    """A key held by a request of this process.
-
-    Attributes:
-        key: Key in the store.
-        revision: Its revision.
-        record: Its contents.
-    """
-
-    key: str
-    revision: Revision
-    record: RequestRecord
-
-
 class RequestClaims:
     """Creates claims by compare-and-swap and records what became of them."""
 
--- a/chiveworks/entry/_service_routes.py
+++ b/chiveworks/entry/_service_routes.py
@@ -8,8 +8,10 @@
 
 from chiveworks.admission import Admission, Demand, TenantLimitFailure
 from chiveworks.base import Clock, Failure, Step, Verdict
+from chiveworks.entry._answer import pass_on
 from chiveworks.entry._rejection import Rejection
-from chiveworks.entry._request_claim import RequestClaim, RequestClaims, RequestRecord
+from chiveworks.entry._request_claims import RequestClaims
+from chiveworks.entry._request_record import RequestClaim, RequestRecord
 from chiveworks.entry._service_catalogue import ServiceCatalogue, ServiceEntry
 from chiveworks.entry._service_request import (
     ServiceRequest,
@@ -18,7 +20,6 @@
 )
 from chiveworks.entry._service_settings import ServiceSettings
 from chiveworks.routing import (
-    AttemptError,
     Dispatcher,
     Request,
     Response,
@@ -146,7 +147,7 @@
                 dropped = sent.err_value.failure.step is not Step.CLAIM
                 return _answer(head, sent.err_value)
             dropped = False
-            return await _pass_on(request, head, sent.ok_value)
+            return await pass_on(request, head.request_id, sent.ok_value)
         finally:
             admitted.ok_value.release(dropped)
 
@@ -251,29 +252,3 @@
     if record.status:
         first['status'] = record.status
     return Rejection(HTTPStatus.CONFLICT, failure, 'duplicate_key', first)
-
-
-async def _pass_on(
-    request: web.Request, head: ServiceRequest, response: Response
-) -> web.StreamResponse:
-    headers = response.headers
-    headers[_REQUEST_ID] = head.request_id
-    if response.rest is None:
-        if request.method == 'HEAD' and response.length is not None:
-            headers['Content-Length'] = str(response.length)
-        return web.Response(status=response.status, headers=headers, body=response.body)
-    streamed = web.StreamResponse(status=response.status, headers=headers)
-    streamed.content_length = response.length
-    try:
-        await streamed.prepare(request)
-        await streamed.write(response.body)
-        async for part in response.rest:
-            await streamed.write(part)
-    except (AttemptError, OSError):
-        # Ends the caller's connection without an end of message, so that the
-        # caller cannot take the answer for complete.
-        if request.transport is not None:
-            request.transport.abort()
-    finally:
-        await response.rest.aclose()
-    return streamed
--- a/chiveworks/routing/_dispatcher.py
+++ b/chiveworks/routing/_dispatcher.py
@@ -4,7 +4,6 @@
 import random
 from datetime import timedelta
 
-import aiohttp
 from result import Err, Ok, Result
 
 from chiveworks.base import Clock, Failure, Step, Verdict
@@ -14,7 +13,9 @@
 from chiveworks.routing._endpoint import TIMEOUTS_TO_PROBE, Endpoint
 from chiveworks.routing._endpoint_table import EndpointTable
 from chiveworks.routing._exchange import Exchange
+from chiveworks.routing._hedging import discard, first_success
 from chiveworks.routing._policy import ROUTING_POLICIES
+from chiveworks.routing._prober import Prober
 from chiveworks.routing._request import Request
 from chiveworks.routing._response import Response
 from chiveworks.routing._retry_budget import RetryBudget
@@ -22,8 +23,6 @@
 from chiveworks.routing._ruling import Ruling, rule
 from chiveworks.routing._settings import RoutingSettings
 
-_PROBE_TIMEOUT = timedelta(seconds=2)
-_PROBE_PAUSE = timedelta(seconds=1)
 _TIMEOUTS = frozenset(
     (
         AttemptEnd.CONNECT_TIMEOUT,
@@ -52,7 +51,7 @@
         self._router = Router(table, policy, clock)
         self._connections = Connections(settings)
         self._budget = RetryBudget(settings.retry_share, settings.retry_reserve)
-        self._probes: set[asyncio.Task[None]] = set()
+        self._prober = Prober(self._connections, clock, settings)
 
     async def send(self, request: Request) -> Result[Response, Failure]:
         """Sends a request and returns the answer or why there is none.
@@ -79,9 +78,7 @@
 
     async def close(self) -> None:
         """Ends probes and closes all connections."""
-        for probe in self._probes:
-            probe.cancel()
-        await asyncio.gather(*self._probes, return_exceptions=True)
+        await self._prober.close()
         await self._connections.close()
 
     async def release_unused(self) -> None:
@@ -132,9 +129,9 @@
                     tried.append(other)
                     second = self._exchange(request, other, len(tried))
                     racing.add(asyncio.ensure_future(second))
-            return await _first_success(racing)
+            return await first_success(racing)
         finally:
-            await _discard(racing)
+            await discard(racing)
 
     async def _exchange(
         self, request: Request, endpoint: Endpoint, number: int
@@ -173,37 +170,10 @@
             endpoint.timeouts = 0
             self._connections.retire(endpoint)
             if self._table.start_probe(endpoint):
-                probe = asyncio.ensure_future(self._probe(endpoint))
-                self._probes.add(probe)
-                probe.add_done_callback(self._probes.discard)
+                self._prober.start(endpoint)
         elif failing:
             self._table.eject(endpoint)
 
-    async def _probe(self, endpoint: Endpoint) -> None:
-        """Asks the endpoint on new connections until it answers anything."""
-        pause = _PROBE_PAUSE
-        while endpoint.probing and not endpoint.leaving:
-            if await self._answers(endpoint):
-                endpoint.end_probe()
-                return
-            self._connections.retire(endpoint)
-            await self._connections.close_unused()
-            await self._clock.sleep(pause)
-            pause = min(pause * 2, self._settings.ejection_limit)
-
-    async def _answers(self, endpoint: Endpoint) -> bool:
-        lease = self._connections.lease(endpoint)
-        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT.total_seconds())
-        try:
-            async with lease.session.get(
-                endpoint.instance.serve_url, timeout=timeout, allow_redirects=False
-            ):
-                return True
-        except (AttemptError, aiohttp.ClientError, OSError):
-            return False
-        finally:
-            lease.release()
-
 
 def _to_failure(ruling: Ruling, error: AttemptError, peer: str) -> Failure:
     detail = f': {error.detail}' if error.detail else ''
@@ -215,36 +185,3 @@
     if earlier is not None and earlier.verdict is Verdict.OUTCOME_UNKNOWN:
         return earlier
     return later
-
-
-async def _first_success(
-    racing: set['asyncio.Future[Response]'],
-) -> Response:
-    pending = set(racing)
-    error: BaseException | None = None
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for attempt in done:
-            problem = attempt.exception()
-            if problem is None:
-                racing.discard(attempt)
-                return attempt.result()
-            # An unknown outcome must not be hidden by an attempt that did not run.
-            if error is None or not _is_unknown(error):
-                error = problem
-    raise error or AttemptError(AttemptEnd.ANSWER_TIMEOUT)
-
-
-def _is_unknown(error: BaseException) -> bool:
-    if not isinstance(error, AttemptError):
-        return True
-    return rule(error.end, idempotent=True).verdict is Verdict.OUTCOME_UNKNOWN
-
-
-async def _discard(racing: set['asyncio.Future[Response]']) -> None:
-    """Cancels attempts that lost and closes their answers."""
-    for attempt in racing:
-        attempt.cancel()
-    for ended in await asyncio.gather(*racing, return_exceptions=True):
-        if isinstance(ended, Response) and ended.rest is not None:
-            await ended.rest.aclose()
