--- a/chiveworks/entry/_entry_process.py
+++ b/chiveworks/entry/_entry_process.py
@@ -10,6 +10,7 @@
 
 from chiveworks.base import RackName, SystemClock
 from chiveworks.entry import _translate_settings as translate
+from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._create_app import create_app
 from chiveworks.entry._create_candidate import create_candidate
 from chiveworks.entry._drain import DrainState, run_server
@@ -57,9 +58,10 @@
         dispatcher = Dispatcher(table, self._clock, routing)
         stack.push_async_callback(dispatcher.close)
 
-        def take_instances(snapshot: InstanceSnapshot) -> None:
+        async def take_instances(snapshot: InstanceSnapshot) -> None:
             table.update(snapshot)
             mesh.take_instances(snapshot)
+            await dispatcher.release_unused()
 
         watcher = InstanceWatcher(platform.instances, self._clock, take_instances)
         candidate = create_candidate(settings, platform, mesh, watcher, self._clock)
@@ -82,6 +84,7 @@
             await mesh.announce_leaving()
             await candidate.release()
 
+        calm_collector()
         await run_server(
             app,
             settings.listen.host,
--- a/chiveworks/entry/_error_middleware.py
+++ b/chiveworks/entry/_error_middleware.py
@@ -1,20 +1,19 @@
 """Turns errors raised in handlers into answers in the common shape."""
 
 import logging
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from chiveworks.base import Failure, Step
 from chiveworks.entry._rejection import Rejection
 
 _LOG = logging.getLogger(__name__)
-_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 @web.middleware
-async def answer_errors(request: web.Request, handler: _Handler) -> web.StreamResponse:
+async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Answers every error as JSON; a stack trace goes to the log only."""
     try:
         return await handler(request)
--- a/chiveworks/entry/_instance_watcher.py
+++ b/chiveworks/entry/_instance_watcher.py
@@ -1,7 +1,7 @@
 """This process's copy of the platform's instance list."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from result import Err
@@ -27,7 +27,7 @@
         self,
         instances: InstanceList,
         clock: Clock,
-        on_change: Callable[[InstanceSnapshot], None],
+        on_change: Callable[[InstanceSnapshot], Awaitable[None]],
     ) -> None:
         self._instances = instances
         self._clock = clock
@@ -51,4 +51,4 @@
                 await self._clock.sleep(_RETRY)
             elif polled.ok_value is not None:
                 self._snapshot = polled.ok_value
-                self._on_change(self._snapshot)
+                await self._on_change(self._snapshot)
