Leave a task alone that ended before its stop is sent

Cause: an eviction walks over several tasks and waits between them; one that finished meanwhile was marked as stopping, became active again in memory and ended a second time.

Change: a stop is sent only for a task that is still active. Figures: the new test fails before the change and passes after.

--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -70,7 +70,10 @@
     async def stop_task(self, task: TaskRecord, *, checkpoint: bool) -> None:
         """Asks a task's worker to stop it, unless it was asked just now."""
         session = self.sessions.get(task.worker)
-        if session is None or not session.is_stop_due(task.task_id):
+        # The task may have ended since the caller looked at it.
+        if not task.is_active or session is None:
+            return
+        if not session.is_stop_due(task.task_id):
             return
         task.state = TaskState.STOPPING
         stopped = await session.stop(task.task_id, task.attempt, checkpoint=checkpoint)
--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -4,7 +4,8 @@
 
 from chiveworks.base import ZoneName
 from chiveworks.catalogue import ZoneState
-from chiveworks.membership import JobState
+from chiveworks.jobs import job_id_of
+from chiveworks.membership import JobState, TaskState
 from chiveworks.scheduler.tests.shard_bench import ShardBench
 
 LAITA = ZoneName('laita')
@@ -93,3 +94,21 @@
     assert set(bench.finishes().values()) == {1}
     bench.check_never_twice_at_once()
     await bench.stop()
+
+
+async def test_a_stop_that_comes_late_leaves_an_ended_task_alone():
+    """Guards against a finished task that becomes active again and ends twice.
+
+    An eviction looks at several tasks and waits between them; a task that ended
+    meanwhile was marked as stopping, and the journal could not be replayed.
+    """
+    bench = await _started()
+    submission = bench.submission('bill-1', count=2, ms=6000)
+    await bench.submit(submission)
+    await bench.advance(2)
+    parts = bench.owners_of(LAITA)[0].candidate._parts
+    task = bench.table_job(job_id_of(submission)).tasks[0]
+    task.state = TaskState.FINISHED
+    await bench.drive(parts.scheduler._keeper.stop_task(task, checkpoint=True))
+    assert task.state is TaskState.FINISHED
+    await bench.stop()
