Spread the configuration between entry processes

Cause: an accepted change must be in force everywhere within 3 s and never revert, while the store, the watcher and peers fail or lag. Change: ConfigFollower watches the store as shard owner, pushes to the peers of its zone, exchanges with a random peer and watches the store itself when no watcher made progress for 4 s. ConfigSync decides what may be taken: items at or below the replica's revision are dropped, the revision rises only with batches without a gap, and a floor marks where tombstones are incomplete. PeerStatus carries the highest change held, the floor and the age of the watcher's progress, so that an exchange also serves the called side.

--- a/chiveworks/membership/__init__.py
+++ b/chiveworks/membership/__init__.py
@@ -1,9 +1,12 @@
 """Communication between entry processes, and the spreading of configuration."""
 
+from chiveworks.membership._config_follower import ConfigFollower
 from chiveworks.membership._config_item import ConfigItem
 from chiveworks.membership._config_page import ConfigPage
 from chiveworks.membership._config_push import ConfigPush
 from chiveworks.membership._config_replica import ConfigReplica
+from chiveworks.membership._config_source import ConfigSource
+from chiveworks.membership._config_sync import ConfigSync
 from chiveworks.membership._exchange_handler import ExchangeHandler
 from chiveworks.membership._exchange_reply import ExchangeReply
 from chiveworks.membership._exchange_request import ExchangeRequest
@@ -22,6 +25,7 @@
 from chiveworks.membership._owner_table import OwnerTable
 from chiveworks.membership._peer import Peer
 from chiveworks.membership._peer_directory import PeerDirectory
+from chiveworks.membership._peer_exchange import PeerExchange
 from chiveworks.membership._peer_pool import PeerPool
 from chiveworks.membership._peer_server import PeerServer
 from chiveworks.membership._peer_status import PeerStatus
@@ -34,10 +38,13 @@
 from chiveworks.membership._task_view import TaskView
 
 __all__ = (
+    'ConfigFollower',
     'ConfigItem',
     'ConfigPage',
     'ConfigPush',
     'ConfigReplica',
+    'ConfigSource',
+    'ConfigSync',
     'ExchangeHandler',
     'ExchangeReply',
     'ExchangeRequest',
@@ -56,6 +63,7 @@
     'OwnerTable',
     'Peer',
     'PeerDirectory',
+    'PeerExchange',
     'PeerPool',
     'PeerServer',
     'PeerStatus',
--- /dev/null
+++ b/chiveworks/membership/_config_follower.py
@@ -0,0 +1,174 @@
+"""Keeps the configuration of an entry process up to date."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from result import Result
+
+from chiveworks.base import Clock, Failure
+from chiveworks.membership._backoff import Backoff
+from chiveworks.membership._config_push import ConfigPush
+from chiveworks.membership._config_source import ConfigSource
+from chiveworks.membership._paging import split_push
+from chiveworks.membership._peer import Peer
+from chiveworks.membership._peer_exchange import PAGE_BYTES, PeerExchange
+from chiveworks.membership._peer_status import PeerStatus
+
+_LOG = logging.getLogger(__name__)
+
+_EXCHANGE_INTERVAL = timedelta(seconds=1.5)
+#: Keeps processes that started together from exchanging at the same moments.
+_EXCHANGE_JITTER = 0.2
+_OWN_ZONE_SHARE = 0.8
+_PATIENCE = timedelta(seconds=4)
+_PATIENCE_JITTER = timedelta(seconds=1)
+_ROLE_POLL = timedelta(seconds=0.25)
+#: Caps the reads of a process at ten a second, however often the store changes.
+_LEAST_PAUSE = timedelta(seconds=0.1)
+_LEAST_RETRY = timedelta(seconds=0.25)
+_GREATEST_RETRY = timedelta(seconds=3)
+
+
+class ConfigFollower:
+    """Follows `config/` through the store, the zone's watcher and the peers.
+
+    The watcher (the shard owner) watches the store and pushes changes to the peers
+    of its zone. The others learn of them by pushes and exchanges; one that learns
+    of no watcher's progress for 4 s watches the store itself until it does.
+    """
+
+    def __init__(
+        self,
+        exchange: PeerExchange,
+        source: ConfigSource,
+        is_watcher: Callable[[], bool],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._exchange = exchange
+        self._source = source
+        self._is_watcher = is_watcher
+        self._clock = clock
+        self._random = random
+        self._retry = Backoff(_LEAST_RETRY, _GREATEST_RETRY, random)
+        self._patience = _PATIENCE
+        self._ready = asyncio.Event()
+        self._pushes: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the replica holds the state of the store or of the best peer."""
+        return self._ready.is_set()
+
+    async def wait_ready(self) -> None:
+        """Waits until `is_ready`."""
+        await self._ready.wait()
+
+    async def run(self) -> None:
+        """Reads the configuration and follows it until cancelled."""
+        try:
+            await self._start()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._follow_store())
+                tasks.create_task(self._follow_peers())
+        finally:
+            for push in self._pushes:
+                push.cancel()
+
+    async def announce(self) -> None:
+        """Exchanges with all peers of the zone, to tell them of a change at once."""
+        exchange = self._exchange
+        peers = exchange.directory.peers_in(exchange.own.zone)
+        await asyncio.gather(*(exchange.exchange_with(peer.address) for peer in peers))
+
+    async def _start(self) -> None:
+        while not (await self._read_store() or await self._ask_peers()):
+            await self._clock.sleep(self._retry.next_delay())
+        self._ready.set()
+
+    async def _ask_peers(self) -> bool:
+        peers = self._exchange.directory.peers()
+        answers = await asyncio.gather(*map(self._revision_at, peers))
+        known = sorted((answer for answer in answers if answer[0]), reverse=True)
+        for _, address in known:
+            pulled = await self._exchange.pull_everything(address)
+            if pulled.is_ok():
+                return True
+        return False
+
+    async def _revision_at(self, peer: Peer) -> tuple[int, str]:
+        answer = await self._exchange.exchange_with(peer.address)
+        status = answer.ok()
+        return (status.revision if status else 0, peer.address)
+
+    async def _follow_store(self) -> None:
+        while True:
+            pause = _ROLE_POLL
+            if self._must_read():
+                is_read = await self._read_store()
+                pause = _LEAST_PAUSE if is_read else self._retry.next_delay()
+            await self._clock.sleep(pause)
+
+    def _must_read(self) -> bool:
+        if self._is_watcher():
+            return True
+        age = self._exchange.progress.age()
+        if age is not None and age <= _PATIENCE:
+            # A new draw for each time that the watcher goes missing.
+            jitter = _PATIENCE_JITTER * self._random.random()
+            self._patience = _PATIENCE + jitter
+        return age is None or age > self._patience
+
+    async def _read_store(self) -> bool:
+        answer = await self._source.read()
+        if answer.is_err():
+            _LOG.warning('the configuration was not read: %s', answer.unwrap_err())
+            return False
+        self._retry.reset()
+        if self._is_watcher():
+            self._exchange.progress.confirm()
+            self._push(answer.unwrap())
+        return True
+
+    def _push(self, push: ConfigPush) -> None:
+        if not push.items:
+            return
+        for peer in self._exchange.directory.peers_in(self._exchange.own.zone):
+            task = asyncio.ensure_future(self._push_to(peer, push))
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
+
+    async def _push_to(self, peer: Peer, push: ConfigPush) -> None:
+        for part in split_push(push, PAGE_BYTES):
+            answer = await self._exchange.calls.push(peer.address, part)
+            if answer.is_err():
+                _LOG.info('changes were not pushed: %s', answer.unwrap_err())
+                return
+
+    async def _follow_peers(self) -> None:
+        while True:
+            share = 1 + _EXCHANGE_JITTER * (2 * self._random.random() - 1)
+            await self._clock.sleep(_EXCHANGE_INTERVAL * share)
+            await self._exchange_once()
+
+    async def _exchange_once(self) -> None:
+        exchange = self._exchange
+        peer = exchange.directory.choose(
+            self._random, _OWN_ZONE_SHARE, exchange.calls.failing()
+        )
+        if peer is None:
+            return
+        answer = await exchange.exchange_with(peer.address)
+        if self._lacks_history(answer):
+            await exchange.pull_everything(peer.address)
+
+    def _lacks_history(self, answer: Result[PeerStatus, Failure]) -> bool:
+        """Whether only a full listing of the peer helps, the store being away."""
+        status = answer.ok()
+        if status is None or not self._retry.failures:
+            return False
+        known = self._exchange.sync.revision
+        return status.floor > known and status.revision > known
--- a/chiveworks/membership/_config_page.py
+++ b/chiveworks/membership/_config_page.py
@@ -13,10 +13,7 @@
     Attributes:
         items: The items.
         next_after: Revision after which the next page starts; 0 on the last page.
-        complete: The pages list everything, not only changes: a key that is in
-            none of them is deleted.
     """
 
     items: tuple[ConfigItem, ...] = ()
     next_after: Revision = Revision(0)
-    complete: bool = False
--- /dev/null
+++ b/chiveworks/membership/_config_source.py
@@ -0,0 +1,75 @@
+"""The configuration in the platform's store."""
+
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, Step
+from chiveworks.membership._config_item import ConfigItem
+from chiveworks.membership._config_push import ConfigPush
+from chiveworks.membership._config_sync import ConfigSync
+from chiveworks.membership._paging import latest_by_key
+from chiveworks.membership._within import within
+from chiveworks.store import Store, StoreEntry, WatchEvent
+
+PREFIX = 'config/'
+_WATCH_WAIT = timedelta(seconds=1.5)
+#: A watch that has not answered by then is on a silent connection.
+_WATCH_LIMIT = timedelta(seconds=2)
+_LIST_LIMIT = timedelta(seconds=5)
+
+
+class ConfigSource:
+    """Brings the replica up to the store's state."""
+
+    def __init__(self, store: Store, sync: ConfigSync, clock: Clock) -> None:
+        self._store = store
+        self._sync = sync
+        self._clock = clock
+
+    async def read(self) -> Result[ConfigPush, Failure]:
+        """Waits for a change for a bounded time, or lists everything if need be.
+
+        Returns:
+            What peers must be told; it has no items when nothing has changed.
+        """
+        try:
+            return await self._read()
+        except TimeoutError:
+            message = 'the store did not answer in time'
+            return Err(Failure.not_run(Step.STORE_READ, PREFIX, message))
+
+    async def _read(self) -> Result[ConfigPush, Failure]:
+        if not self._sync.has_base:
+            return await self._list()
+        after = self._sync.revision
+        watch = self._store.watch(PREFIX, after, _WATCH_WAIT)
+        answer = await within(self._clock, _WATCH_LIMIT, watch)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        batch = answer.unwrap()
+        if batch.compacted:
+            return await self._list()
+        items = latest_by_key(map(_item_of_event, batch.events))
+        self._sync.apply_changes(items, after, batch.revision)
+        return Ok(ConfigPush(items, after, batch.revision))
+
+    async def _list(self) -> Result[ConfigPush, Failure]:
+        listing = self._store.list_prefix(PREFIX)
+        answer = await within(self._clock, _LIST_LIMIT, listing)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        read = answer.unwrap()
+        items = tuple(map(_item_of_entry, read.entries))
+        newer = self._sync.apply_listing(items, read.revision)
+        # Changes between the former revision and the listing are not all known,
+        # so peers take these items without raising their revision.
+        return Ok(ConfigPush(newer, read.revision, read.revision))
+
+
+def _item_of_event(event: WatchEvent) -> ConfigItem:
+    return ConfigItem(event.key, event.value, event.mod_revision, event.deleted)
+
+
+def _item_of_entry(entry: StoreEntry) -> ConfigItem:
+    return ConfigItem(entry.key, entry.value, entry.mod_revision)
--- a/chiveworks/membership/_exchange_request.py
+++ b/chiveworks/membership/_exchange_request.py
@@ -13,10 +13,11 @@
 
     Attributes:
         status: State of the caller.
-        after: Wanted are items above this revision; None means `status.revision`.
+        complete_after: None asks for the changes after `status.revision`; a number
+            for everything above it, 0 in the first round.
         owners: The caller's owner table, once digests were found to differ.
     """
 
     status: PeerStatus
-    after: Revision | None = None
+    complete_after: Revision | None = None
     owners: tuple[OwnerRecord, ...] = ()
--- /dev/null
+++ b/chiveworks/membership/_paging.py
@@ -0,0 +1,64 @@
+"""Splitting configuration items by size."""
+
+from collections.abc import Iterable, Iterator, Sequence
+
+from chiveworks.base import Revision
+from chiveworks.membership._config_item import ConfigItem
+from chiveworks.membership._config_page import ConfigPage
+from chiveworks.membership._config_push import ConfigPush
+
+#: Bytes of an item on the wire beyond its key and value, at most.
+_ITEM_OVERHEAD_BYTES = 32
+
+
+def in_order(items: Iterable[ConfigItem]) -> list[ConfigItem]:
+    """Returns the items in the order of their revisions."""
+    return sorted(items, key=lambda entry: entry.mod_revision)
+
+
+def first_page(items: Sequence[ConfigItem], limit_bytes: int) -> ConfigPage:
+    """Returns the leading items that fit the limit, at least one.
+
+    Items of equal revision stay together, since the next page starts after the
+    last revision of this one.
+
+    Args:
+        items: Items in the order of their revisions.
+        limit_bytes: Size that a page should not exceed.
+    """
+    total_bytes = 0
+    for position, entry in enumerate(items):
+        total_bytes += _size_bytes(entry)
+        before = items[position - 1].mod_revision if position else entry.mod_revision
+        if total_bytes > limit_bytes and before != entry.mod_revision:
+            return ConfigPage(tuple(items[:position]), before)
+    return ConfigPage(tuple(items))
+
+
+def split_push(push: ConfigPush, limit_bytes: int) -> Iterator[ConfigPush]:
+    """Yields pushes of limited size that amount to `push` when taken in order."""
+    items = in_order(push.items)
+    after = push.after
+    page = first_page(items, limit_bytes)
+    while page.next_after:
+        yield ConfigPush(page.items, after, page.next_after)
+        after = max(after, page.next_after)
+        items = items[len(page.items) :]
+        page = first_page(items, limit_bytes)
+    yield ConfigPush(page.items, after, push.revision)
+
+
+def latest_by_key(items: Iterable[ConfigItem]) -> tuple[ConfigItem, ...]:
+    """Returns the last item of each key."""
+    latest: dict[str, ConfigItem] = {}
+    for entry in items:
+        held: Revision = (
+            latest[entry.key].mod_revision if entry.key in latest else Revision(0)
+        )
+        if entry.mod_revision > held:
+            latest[entry.key] = entry
+    return tuple(latest.values())
+
+
+def _size_bytes(entry: ConfigItem) -> int:
+    return len(entry.key) + len(entry.value) + _ITEM_OVERHEAD_BYTES
--- /dev/null
+++ b/chiveworks/membership/_peer_exchange.py
@@ -0,0 +1,170 @@
+"""Exchanges with peers: what is told, what is asked and what is taken."""
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Clock, Failure, Revision, Step
+from chiveworks.membership._config_item import ConfigItem
+from chiveworks.membership._config_push import ConfigPush
+from chiveworks.membership._config_sync import ConfigSync
+from chiveworks.membership._exchange_reply import ExchangeReply
+from chiveworks.membership._exchange_request import ExchangeRequest
+from chiveworks.membership._owner_record import OwnerRecord
+from chiveworks.membership._owner_table import OwnerTable
+from chiveworks.membership._paging import latest_by_key
+from chiveworks.membership._peer import Peer
+from chiveworks.membership._peer_calls import PeerCalls
+from chiveworks.membership._peer_directory import PeerDirectory
+from chiveworks.membership._peer_status import PeerStatus
+from chiveworks.membership._watcher_progress import WatcherProgress
+
+#: Size of the items in one message; a single larger item goes alone.
+PAGE_BYTES = 256 << 10
+#: At the page size above, this is well beyond any configuration.
+_MAX_ROUNDS = 256
+
+
+class PeerExchange:
+    """Both sides of `Exchange` and the receiving side of `Push`."""
+
+    def __init__(
+        self,
+        own: Peer,
+        sync: ConfigSync,
+        directory: PeerDirectory,
+        owners: OwnerTable,
+        calls: PeerCalls,
+        clock: Clock,
+    ) -> None:
+        self.own = own
+        self.sync = sync
+        self.directory = directory
+        self.owners = owners
+        self.calls = calls
+        self.clock = clock
+        self.progress = WatcherProgress(clock)
+        self.is_draining = False
+
+    def status(self) -> PeerStatus:
+        """Returns what peers are told about this process."""
+        return PeerStatus(
+            entry_id=self.own.entry_id,
+            zone=self.own.zone,
+            address=self.own.address,
+            revision=self.sync.revision,
+            last_change=self.sync.last_change,
+            floor=self.sync.floor,
+            progress_age=self.progress.age(),
+            owners_digest=self.owners.digest,
+            draining=self.is_draining,
+        )
+
+    def answer_exchange(self, request: ExchangeRequest) -> ExchangeReply:
+        """Answers a peer's exchange."""
+        self.owners.update(request.owners)
+        self._note_status(request.status)
+        differs = request.status.owners_digest != self.owners.digest
+        if request.complete_after is None:
+            page = self.sync.changes_page(request.status.revision, PAGE_BYTES)
+        else:
+            page = self.sync.complete_page(request.complete_after, PAGE_BYTES)
+        return ExchangeReply(
+            status=self.status(),
+            page=page,
+            owners=self.owners.records() if differs else (),
+        )
+
+    def accept_push(self, push: ConfigPush) -> None:
+        """Takes changes that a watcher has pushed."""
+        self.sync.apply_changes(push.items, push.after, push.revision)
+        if self.sync.revision >= push.revision:
+            self.progress.confirm()
+
+    async def exchange_with(self, address: str) -> Result[PeerStatus, Failure]:
+        """Exchanges with a peer until neither side has more for the other.
+
+        Returns:
+            The peer's status in the last round.
+        """
+        offered: tuple[OwnerRecord, ...] = ()
+        for _ in range(_MAX_ROUNDS):
+            request = ExchangeRequest(self.status(), owners=offered)
+            answer = await self._exchange(address, request)
+            if answer.is_err():
+                return answer.map(_status_of)
+            reply = answer.unwrap()
+            differs = reply.status.owners_digest != self.owners.digest
+            has_more = self._take_changes(request, reply)
+            if not has_more and (offered or not differs):
+                break
+            offered = () if offered else self.owners.records()
+        return Ok(reply.status)
+
+    async def pull_everything(self, address: str) -> Result[Revision, Failure]:
+        """Takes a full listing from a peer, in place of one from the store.
+
+        Returns:
+            The listing's revision.
+        """
+        items: list[ConfigItem] = []
+        after = Revision(0)
+        first: PeerStatus | None = None
+        for _ in range(_MAX_ROUNDS):
+            request = ExchangeRequest(self.status(), complete_after=after)
+            answer = await self._exchange(address, request)
+            if answer.is_err():
+                return Err(answer.unwrap_err())
+            reply = answer.unwrap()
+            first = first or reply.status
+            if not _is_continued(first, reply.status):
+                break
+            items.extend(reply.page.items)
+            after = reply.page.next_after
+            if not after:
+                self._take_listing(items, reply.status)
+                return Ok(reply.status.revision)
+        message = 'the peer has no configuration, or started anew while it listed it'
+        return Err(Failure.not_run(Step.READ, address, message))
+
+    async def _exchange(
+        self, address: str, request: ExchangeRequest
+    ) -> Result[ExchangeReply, Failure]:
+        answer = await self.calls.exchange(address, request)
+        if answer.is_ok():
+            reply = answer.unwrap()
+            self.owners.update(reply.owners)
+            self.directory.note_draining(reply.status.entry_id, reply.status.draining)
+        return answer
+
+    def _take_changes(self, request: ExchangeRequest, reply: ExchangeReply) -> bool:
+        known = request.status.revision
+        page, status = reply.page, reply.status
+        if known >= status.floor:
+            reached = min(page.next_after or status.revision, status.revision)
+            self.sync.apply_changes(page.items, known, reached)
+        self._note_progress(status)
+        return bool(page.next_after) and self.sync.revision > known
+
+    def _take_listing(self, items: list[ConfigItem], status: PeerStatus) -> None:
+        self.sync.apply_listing(latest_by_key(items), status.revision)
+        self._note_progress(status)
+
+    def _note_status(self, status: PeerStatus) -> None:
+        self.directory.note_draining(status.entry_id, status.draining)
+        self.sync.note_status(status)
+        self._note_progress(status)
+
+    def _note_progress(self, status: PeerStatus) -> None:
+        if self.sync.revision >= status.revision:
+            self.progress.confirm(status.progress_age)
+
+
+def _status_of(reply: ExchangeReply) -> PeerStatus:
+    return reply.status
+
+
+def _is_continued(first: PeerStatus, status: PeerStatus) -> bool:
+    return (
+        status.revision >= max(first.revision, 1)
+        and status.entry_id == first.entry_id
+        and status.floor == first.floor
+    )
--- a/chiveworks/membership/_wire_exchange.py
+++ b/chiveworks/membership/_wire_exchange.py
@@ -23,16 +23,19 @@
     """Converts an exchange's request to protobuf."""
     return peer_pb2.ExchangeRequest(
         status=_status_to_wire(request.status),
-        after=request.after,
+        complete_after=request.complete_after,
         owners=_owners_to_wire(request.owners),
     )
 
 
 def request_from_wire(message: Any) -> ExchangeRequest:
     """Converts an exchange's request from protobuf."""
+    complete_after = None
+    if message.HasField('complete_after'):
+        complete_after = Revision(message.complete_after)
     return ExchangeRequest(
         status=_status_from_wire(message.status),
-        after=Revision(message.after) if message.HasField('after') else None,
+        complete_after=complete_after,
         owners=_owners_from_wire(message.owners),
     )
 
@@ -43,7 +46,6 @@
         status=_status_to_wire(reply.status),
         items=_items_to_wire(reply.page.items),
         next_after=reply.page.next_after,
-        complete=reply.page.complete,
         owners=_owners_to_wire(reply.owners),
     )
 
@@ -53,7 +55,6 @@
     page = ConfigPage(
         items=_items_from_wire(message.items),
         next_after=Revision(message.next_after),
-        complete=message.complete,
     )
     return ExchangeReply(
         status=_status_from_wire(message.status),
--- /dev/null
+++ b/chiveworks/membership/tests/test_config_follower.py
@@ -0,0 +1,189 @@
+"""The follower's tasks, with time stepped by hand."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from chiveworks.base import ManualClock, Revision
+from chiveworks.membership import ConfigPush
+from chiveworks.membership.tests.fakes import FakeStore, Net, Process
+
+NAMES = ('e1', 'e2')
+
+
+class Cell:
+    """Processes of one zone, their store and their tasks."""
+
+    def __init__(self, tasks):
+        self.clock = ManualClock()
+        self.store = FakeStore(self.clock)
+        self.net = Net()
+        self.tasks = tasks
+
+    def start(self, name, is_watcher=False, names=NAMES):
+        process = Process(name, names, self.store, self.net, self.clock, is_watcher)
+        self.tasks.create_task(process.follower.run())
+        return process
+
+    async def advance(self, seconds):
+        await self.clock.advance(timedelta(seconds=seconds))
+
+
+@pytest.fixture
+async def cell():
+    async with asyncio.TaskGroup() as tasks:
+        cell = Cell(tasks)
+        yield cell
+        for task in tuple(tasks._tasks):
+            task.cancel()
+
+
+async def test_change_is_pushed_within_three_seconds(cell):
+    """Promise 10: a change is in force at the watcher and at its peers."""
+    watcher, peer = cell.start('e1', is_watcher=True), cell.start('e2')
+    await cell.advance(3)
+    cell.store.put('a')
+    cell.net.cut = {'e1'}
+    await cell.advance(0.3)
+    assert watcher.replica.live() == peer.replica.live() == cell.store.live()
+
+
+async def test_silent_watch_is_replaced(cell):
+    """A watch whose connection went silent must not hide changes for ever."""
+    watcher = cell.start('e1', is_watcher=True)
+    await cell.advance(1)
+    cell.store.silent_watches = 1
+    await cell.advance(2)
+    cell.store.put('a')
+    await cell.advance(2.6)
+    assert cell.store.silent_watches == 0
+    assert watcher.replica.live() == cell.store.live()
+
+
+async def test_compacted_watch_lists_and_keeps_tombstones(cell):
+    """A key deleted during an outage must not stay in force."""
+    cell.store.put('a')
+    cell.store.put('b')
+    watcher = cell.start('e1', is_watcher=True)
+    await cell.advance(1)
+    cell.store.is_down = True
+    await cell.advance(2)
+    cell.store.put('a', deleted=True)
+    cell.store.compacted_to = cell.store.revision
+    cell.store.is_down = False
+    await cell.advance(4)
+    assert watcher.replica.live() == cell.store.live()
+    assert watcher.replica.held['config/a'].deleted
+
+
+async def test_restart_that_meets_a_lagging_peer_heals_later(cell):
+    """A late push must not bring back what the lagging peer had deleted."""
+    lagging = Process('e2', NAMES, cell.store, cell.net, cell.clock)
+    cell.store.put('a')
+    first = (await lagging.source.read()).unwrap()
+    cell.store.put('a', deleted=True)
+    await lagging.source.read()
+    cell.store.put('b')
+    cell.store.is_down = True
+    restarted = cell.start('e1')
+    await cell.advance(2)
+    assert restarted.follower.is_ready
+    assert restarted.sync.revision == 2
+    restarted.exchange.accept_push(first)
+    assert restarted.replica.live() == {}
+    cell.store.is_down = False
+    await cell.advance(9)
+    assert restarted.replica.live() == cell.store.live()
+
+
+async def test_not_ready_without_store_and_peers(cell):
+    """An empty catalogue would turn away every request as unknown."""
+    cell.store.is_down = True
+    process = cell.start('e1')
+    await cell.advance(30)
+    assert not process.follower.is_ready
+    cell.store.is_down = False
+    await cell.advance(4)
+    assert process.follower.is_ready
+
+
+async def test_store_is_read_only_while_no_watcher_makes_progress(cell):
+    """All processes watching at once would use up the store's reads."""
+    watcher, peer = cell.start('e1', is_watcher=True), cell.start('e2')
+    await cell.advance(5)
+    cell.net.exchanges['e2'].progress.confirm()
+    before = len(cell.store.calls)
+    await cell.advance(30)
+    # A watch every 1.6 s is the watcher's own share.
+    assert len(cell.store.calls) - before <= 21
+    watcher.is_watcher = False
+    await cell.advance(6)
+    cell.store.put('a')
+    await cell.advance(0.3)
+    assert peer.replica.live() == cell.store.live()
+
+
+async def test_attempts_during_an_outage_are_capped_and_spread(cell):
+    """A store that returns must not meet all processes at the same moment."""
+    names = [f'p{number}' for number in range(20)]
+    for name in names:
+        cell.start(name, is_watcher=True, names=names)
+    await cell.advance(2)
+    cell.store.is_down = True
+    await cell.advance(20)
+    cell.store.calls.clear()
+    await cell.advance(20)
+    moments = [at for _, at in cell.store.calls]
+    assert len(moments) <= 20 * 20 / 1.2
+    busiest = max(
+        sum(0 <= (other - at).total_seconds() < 0.25 for other in moments)
+        for at in moments
+    )
+    assert busiest <= 12
+
+
+async def test_item_that_fills_a_gap_during_a_pull_is_not_missed(cell, monkeypatch):
+    """A change below the next page's start would be taken for known."""
+    monkeypatch.setattr('chiveworks.membership._peer_exchange.PAGE_BYTES', 1)
+    called = Process('e2', NAMES, cell.store, cell.net, cell.clock)
+    caller = Process('e1', NAMES, cell.store, cell.net, cell.clock)
+    cell.store.put('a')
+    await called.source.read()
+    for key in ('b', 'c', 'd'):
+        cell.store.put(key)
+    late = tuple(cell.store.changes[2:])
+    called.exchange.accept_push(ConfigPush(late, Revision(2), Revision(4)))
+    rounds = iter((False, False, True))
+
+    async def fill_gap():
+        if next(rounds, False):
+            await called.source.read()
+
+    cell.net.before_answer = fill_gap
+    await caller.exchange.pull_everything('e2')
+    held = {entry.mod_revision for entry in caller.replica.held.values()}
+    assert set(range(1, caller.sync.revision + 1)) <= held
+
+
+async def test_pull_from_a_peer_that_starts_anew_is_given_up(cell, monkeypatch):
+    """The new process may have no tombstone of a key that the old one listed."""
+    monkeypatch.setattr('chiveworks.membership._peer_exchange.PAGE_BYTES', 1)
+    called = Process('e2', NAMES, cell.store, cell.net, cell.clock)
+    caller = Process('e1', NAMES, cell.store, cell.net, cell.clock)
+    cell.store.put('a')
+    cell.store.put('b')
+    await called.source.read()
+    rounds = iter((False, True))
+
+    async def restart_before_second_round():
+        if next(rounds, False):
+            cell.store.put('a', deleted=True)
+            restarted = Process('e2', NAMES, cell.store, cell.net, cell.clock)
+            await restarted.source.read()
+
+    cell.net.before_answer = restart_before_second_round
+    assert (await caller.exchange.pull_everything('e2')).is_err()
+    cell.net.before_answer = None
+    assert (await caller.exchange.pull_everything('e2')).is_ok()
+    assert caller.replica.live() == cell.store.live()
--- /dev/null
+++ b/chiveworks/membership/tests/test_config_machine.py
@@ -0,0 +1,205 @@
+"""Replicas under pushes, exchanges, watch answers, restarts and cuts in any order."""
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from chiveworks import membership as m
+from chiveworks.base import ManualClock
+from chiveworks.membership import _peer_exchange
+from chiveworks.membership._config_source import _item_of_event
+from chiveworks.membership._paging import split_push
+from chiveworks.membership.tests.fakes import FakeStore, Net, Process
+
+NAMES = ('e1', 'e2', 'e3')
+KEYS = st.sampled_from(['a', 'b', 'c'])
+PEERS = st.permutations(NAMES).map(lambda names: names[:2])
+ACTIONS = st.lists(st.sampled_from(['put', 'delete', 'watch', 'deliver']), max_size=4)
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Compares every replica with the store's full history after each step."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.finish = self.loop.run_until_complete
+        self.store = FakeStore(ManualClock())
+        self.net = Net()
+        self.processes = {name: self._new(name) for name in NAMES}
+        self.late = []
+        self.seen: dict[str, Any] = {name: (0, {}) for name in NAMES}
+
+    def _new(self, name):
+        return Process(name, NAMES, self.store, self.net)
+
+    @rule(key=KEYS, deleted=st.booleans())
+    def change(self, key, deleted):
+        self.store.put(key, deleted)
+
+    @rule()
+    def write_journal(self):
+        self.store.pass_by()
+
+    @rule()
+    def compact(self):
+        self.store.compacted_to = self.store.revision
+
+    @rule(name=st.sampled_from(NAMES))
+    def read_store(self, name):
+        """What a watcher does; the pushes that follow are delivered later."""
+        self.finish(self._read_store(self.processes[name]))
+
+    async def _read_store(self, process):
+        after = process.sync.revision
+        if process.sync.has_base and not self.store.is_watch_ready(after):
+            return
+        push = (await process.source.read()).unwrap()
+        self.late += [('push', part) for part in split_push(push, 1)]
+
+    @rule(name=st.sampled_from(NAMES))
+    def watch_answer_is_delayed(self, name):
+        process = self.processes[name]
+        after = process.sync.revision
+        batch = self.store.batch(after)
+        if process.sync.has_base and not batch.compacted:
+            items = tuple(map(_item_of_event, batch.events))
+            self.late.append(('watch', (process, items, after, batch.revision)))
+
+    @rule(peers=PEERS)
+    def exchange(self, peers):
+        caller, called = peers
+        self.finish(self.processes[caller].exchange.exchange_with(called))
+
+    @rule(peers=PEERS)
+    def exchange_answer_is_delayed(self, peers):
+        caller, called = (self.processes[name].exchange for name in peers)
+        request = m.ExchangeRequest(caller.status())
+        reply = called.answer_exchange(request)
+        self.late.append(('reply', (caller, request, reply)))
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def deliver(self, data):
+        """Delivers a message late; it stays, so that it may come again."""
+        self._deliver(data.draw(st.sampled_from(range(len(self.late)))), data)
+
+    def _deliver(self, position, data):
+        kind, message = self.late[position]
+        if kind == 'push':
+            name = data.draw(st.sampled_from(NAMES))
+            self.processes[name].exchange.accept_push(message)
+        elif kind == 'watch':
+            process, items, after, revision = message
+            process.sync.apply_changes(items, after, revision)
+        else:
+            caller, request, reply = message
+            caller._take_changes(request, reply)
+
+    @rule(peers=PEERS, actions=ACTIONS, key=KEYS, data=st.data())
+    def pull_while_peer_changes(self, peers, actions, key, data):
+        caller, called = peers
+        pending = list(actions)
+
+        async def act():
+            action = pending.pop(0) if pending else ''
+            if action in {'put', 'delete'}:
+                self.store.put(key, action == 'delete')
+            elif action == 'watch':
+                await self._read_store(self.processes[called])
+            elif action and self.late:
+                self._deliver(len(self.late) - 1, data)
+
+        with mock.patch.object(self.net, 'before_answer', act):
+            self.finish(self.processes[caller].exchange.pull_everything(called))
+
+    @rule(name=st.sampled_from(NAMES), store_is_up=st.booleans())
+    def restart(self, name, store_is_up):
+        """A new process reads the store, or asks the peers while it is away."""
+        self.processes[name] = self._new(name)
+        self.seen[name] = (0, {})
+        self.store.is_down = not store_is_up
+        follower = self.processes[name].follower
+        if not self.finish(follower._read_store()):
+            self.finish(follower._ask_peers())
+        self.store.is_down = False
+
+    @invariant()
+    def nothing_reverts(self):
+        for name, process in self.processes.items():
+            revision, held = self.seen[name]
+            assert process.sync.revision >= revision
+            for key, entry in held.items():
+                assert process.replica.held[key].mod_revision >= entry.mod_revision
+            self.seen[name] = (process.sync.revision, dict(process.replica.held))
+
+    @invariant()
+    def replicas_hold_only_what_the_store_held(self):
+        history = {(c.key, c.mod_revision): c for c in self.store.changes}
+        for process in self.processes.values():
+            for entry in process.replica.held.values():
+                if not entry.deleted:
+                    assert history[entry.key, entry.mod_revision] == entry
+                assert entry.mod_revision <= process.sync.last_change
+
+    @invariant()
+    def revision_means_that_all_changes_are_known(self):
+        for process in self.processes.values():
+            known = self.store.latest(process.sync.revision)
+            held = process.replica.held
+            for key, change in known.items():
+                if not change.deleted or key in held:
+                    assert held[key].mod_revision >= change.mod_revision
+            for key, entry in held.items():
+                newest = known.get(key, entry)
+                assert entry.deleted or entry.mod_revision >= newest.mod_revision
+
+    def teardown(self):
+        try:
+            self._heal()
+        finally:
+            self.loop.close()
+
+    def _heal(self):
+        self.store.put('healed')
+        first, *others = self.processes.values()
+        self.finish(first.source.read())
+        for process in others:
+            self.finish(process.exchange.exchange_with(first.name))
+            if process.sync.revision < first.sync.floor:
+                self.finish(process.exchange.pull_everything(first.name))
+        for process in self.processes.values():
+            assert process.replica.live() == self.store.live()
+            assert process.sync.revision == self.store.revision
+
+
+class SmallPagesMachine(ConfigMachine):
+    """The same with one item per message, so that pulls take several rounds."""
+
+    def __init__(self):
+        super().__init__()
+        self.patch = mock.patch.object(_peer_exchange, 'PAGE_BYTES', 1)
+        self.patch.start()
+
+    def teardown(self):
+        try:
+            super().teardown()
+        finally:
+            self.patch.stop()
+
+
+TestConfig = ConfigMachine.TestCase
+TestConfig.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+TestSmallPages = SmallPagesMachine.TestCase
+TestSmallPages.settings = TestConfig.settings
