Wire quotas, protection of services and a shard's measurements

Cause: placement's queue knew no quotas, and reported slowdowns of services led to no measure. Change: each shard holds an equal part of a tenant's quota; slowdowns above placement.tolerated_slowdown throttle and in the end evict batch tasks; queue length and evictions are measured.

--- a/chiveworks/entry/_create_candidate.py
+++ b/chiveworks/entry/_create_candidate.py
@@ -15,6 +15,7 @@
 )
 from chiveworks.scheduler import ShardCandidate, ShardEnvironment
 from chiveworks.settings import Settings
+from chiveworks.telemetry import Metrics
 
 _NAIVE_POLICY = 'first_fit'
 _QUEUE_ORDER = 'deadline_fair'
@@ -25,6 +26,7 @@
     platform: Platform,
     mesh: Mesh,
     watcher: InstanceWatcher,
+    metrics: Metrics,
     clock: Clock,
 ) -> ShardCandidate:
     """Returns the candidate for the shard of the process's zone."""
@@ -48,6 +50,9 @@
             list_workers=lambda: watcher.workers_in(settings.zone),
             load_of=learner.load_of,
             on_report=learner.observe,
+            estimator=estimator,
+            tolerated_slowdown=settings.placement.tolerated_slowdown,
+            metrics=metrics,
             clock=clock,
             random=np.random.default_rng(),
             timings=translate.to_timings(settings),
--- a/chiveworks/entry/_entry_process.py
+++ b/chiveworks/entry/_entry_process.py
@@ -64,7 +64,9 @@
             await dispatcher.release_unused()
 
         watcher = InstanceWatcher(platform.instances, self._clock, take_instances)
-        candidate = create_candidate(settings, platform, mesh, watcher, self._clock)
+        candidate = create_candidate(
+            settings, platform, mesh, watcher, metrics, self._clock
+        )
         app = create_app(
             settings,
             platform,
--- /dev/null
+++ b/chiveworks/scheduler/_quotas.py
@@ -0,0 +1,52 @@
+"""Quotas of teams in one shard, from the catalogue."""
+
+from collections import defaultdict
+
+from chiveworks.base import TenantName, ZoneName
+from chiveworks.catalogue import CatalogueReplica
+from chiveworks.placement import TaskQueue
+
+
+class Quotas:
+    """Gives each shard an equal part of a tenant's quota.
+
+    The zones in service share a quota evenly, so that no zone has to ask
+    another one before a start. A part is never smaller than one task.
+    """
+
+    def __init__(
+        self,
+        replica: CatalogueReplica,
+        queue: TaskQueue,
+        zones: tuple[ZoneName, ...],
+    ) -> None:
+        self._replica = replica
+        self._queue = queue
+        self._zones = zones
+        self._seen_changes = -1
+        self._set: set[TenantName] = set()
+
+    def refresh(self) -> None:
+        """Sets the quotas anew if the configuration has changed."""
+        if self._replica.changes == self._seen_changes:
+            return
+        self._seen_changes = self._replica.changes
+        parts = self._parts()
+        for tenant in self._set - parts.keys():
+            self._queue.set_quota(tenant, None)
+        for tenant, part in parts.items():
+            self._queue.set_quota(tenant, part)
+        self._set = set(parts)
+
+    def _parts(self) -> dict[TenantName, int]:
+        totals: dict[TenantName, int] = defaultdict(int)
+        largest: dict[TenantName, int] = defaultdict(int)
+        for entry in self._replica.entries():
+            if entry.quota_cpu_millicores:
+                totals[entry.tenant] += entry.quota_cpu_millicores
+                largest[entry.tenant] = max(largest[entry.tenant], entry.cpu_millicores)
+        in_service = sum(map(self._replica.is_in_service, self._zones))
+        return {
+            tenant: max(total // max(in_service, 1), largest[tenant])
+            for tenant, total in totals.items()
+        }
--- /dev/null
+++ b/chiveworks/scheduler/_service_protection.py
@@ -0,0 +1,126 @@
+"""Throttles and evicts batch tasks that slow down services."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from chiveworks.base import TaskId, WorkerId
+from chiveworks.instances import Instance
+from chiveworks.jobs import TaskRecord
+from chiveworks.membership import TaskState
+from chiveworks.placement import (
+    Measure,
+    Neighbour,
+    ProtectionAction,
+    ProtectionPolicy,
+    SlowdownEstimator,
+    WorkerPressure,
+)
+from chiveworks.scheduler._background import Background
+from chiveworks.scheduler._session_keeper import SessionKeeper
+from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.workers import WorkerReport
+
+_SERVICE_PREFIX = 'service:'
+#: Decides only among tasks of the same predicted harm.
+_SIZE_WEIGHT = 0.001
+
+
+class ServiceProtection:
+    """Turns reported slowdowns of services into measures on their neighbours.
+
+    Args:
+        context: State of the tenure.
+        policy: Decides on measures.
+        keeper: Sends commands to workers.
+        background: Runs the commands.
+        estimator: Predicts which neighbour does most harm.
+        tolerated_slowdown: Slowdown of a service above which measures are taken.
+    """
+
+    def __init__(
+        self,
+        context: ShardContext,
+        policy: ProtectionPolicy,
+        keeper: SessionKeeper,
+        background: Background,
+        estimator: SlowdownEstimator,
+        tolerated_slowdown: float,
+    ) -> None:
+        self._context = context
+        self._policy = policy
+        self._keeper = keeper
+        self._background = background
+        self._estimator = estimator
+        self._tolerated_slowdown = tolerated_slowdown
+        self._metrics = context.metrics
+        self._shares: dict[tuple[TaskId, int], float] = {}
+
+    def observe(
+        self, instance: Instance, report: WorkerReport, _kinds: Mapping[TaskId, str]
+    ) -> None:
+        """Decides on a measure after each report that measured a service."""
+        slowdowns = [
+            usage.slowdown
+            for usage in report.usage
+            if usage.task_id.startswith(_SERVICE_PREFIX)
+        ]
+        if not slowdowns:
+            return
+        pressure = WorkerPressure(
+            report.worker,
+            max(slowdowns) / self._tolerated_slowdown,
+            self._neighbours(instance, report.worker),
+        )
+        action = self._policy.decide(pressure)
+        if action is not None:
+            self._background.start(self._carry_out(action))
+
+    def _neighbours(
+        self, instance: Instance, worker: WorkerId
+    ) -> tuple[Neighbour, ...]:
+        self._estimator.refresh_if_due()
+        return tuple(
+            self._neighbour(instance, task)
+            for task in self._context.table.active_on(worker)
+            if task.state is TaskState.RUNNING
+        )
+
+    def _neighbour(self, instance: Instance, task: TaskRecord) -> Neighbour:
+        spec = self._context.table.job_of(task.task_id).spec
+        harm = sum(
+            self._estimator.pair_excess(str(service), spec.kind, 1)
+            for service in instance.services
+        )
+        # Without history every kind looks the same; the larger task then counts
+        # as the more harmful one.
+        size = task.reserved.cpu_millicores / max(instance.capacity.cpu_millicores, 1)
+        return Neighbour(
+            task.task_id,
+            harm + size * _SIZE_WEIGHT,
+            self._work_since_checkpoint(task),
+            self._shares.get((task.task_id, task.attempt), 1),
+            evictable=spec.resumable,
+        )
+
+    def _work_since_checkpoint(self, task: TaskRecord) -> timedelta:
+        """Returns the work that an eviction would lose.
+
+        A task that can checkpoint does so when it is evicted and loses nothing.
+        """
+        if self._context.table.job_of(task.task_id).spec.can_checkpoint:
+            return timedelta(0)
+        confirmed = self._keeper.confirmed_at(task)
+        if confirmed is None:
+            return timedelta(0)
+        return self._context.clock.monotonic() - confirmed
+
+    async def _carry_out(self, action: ProtectionAction) -> None:
+        task = self._context.table.tasks.get(action.task_id)
+        if task is None or not task.is_active or task.worker != action.worker_id:
+            return
+        if action.measure is Measure.EVICT:
+            tenant = self._context.table.job_of(task.task_id).tenant
+            self._metrics.count_eviction(tenant, 'protection')
+            await self._keeper.stop_task(task, checkpoint=True)
+        elif await self._keeper.throttle_task(task, action.share):
+            self._shares[(task.task_id, task.attempt)] = action.share
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -33,7 +33,6 @@
         background: Background,
         open_session: Callable[[Instance], WorkerSession],
         list_workers: Callable[[], tuple[Instance, ...]],
-        observe: ReportObserver,
         has_waiting_work: Callable[[], bool],
     ) -> None:
         self.sessions: dict[WorkerId, WorkerSession] = {}
@@ -42,7 +41,7 @@
         self._background = background
         self._open_session = open_session
         self._list_workers = list_workers
-        self._observe = observe
+        self._observers: list[ReportObserver] = []
         self._has_waiting_work = has_waiting_work
         self._running: dict[WorkerId, asyncio.Task[None]] = {}
 
@@ -50,6 +49,16 @@
         """Returns the workers with a session."""
         return tuple(self.sessions)
 
+    def add_observer(self, observe: ReportObserver) -> None:
+        """Calls `observe` with each report from now on."""
+        self._observers.append(observe)
+
+    def confirmed_at(self, task: TaskRecord) -> timedelta | None:
+        """Returns when this owner learned that the attempt had started."""
+        session = self.sessions.get(task.worker)
+        track = session.starts.get(task.task_id) if session else None
+        return track.confirmed if track else None
+
     def update(self) -> None:
         """Opens sessions for new workers; closes those gone and unused."""
         listed = {
@@ -85,6 +94,14 @@
         if isinstance(renewed, Ok):
             self._on_report(session, renewed.ok_value)
 
+    async def throttle_task(self, task: TaskRecord, share: float) -> bool:
+        """Limits a task's processors; returns whether the worker did so."""
+        session = self.sessions.get(task.worker)
+        if session is None:
+            return False
+        throttled = await session.throttle(task.task_id, task.attempt, share)
+        return isinstance(throttled, Ok)
+
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
         self._running[session.worker] = self._background.start(
@@ -101,7 +118,9 @@
         return timings.worker_renew
 
     def _on_report(self, session: WorkerSession, report: WorkerReport) -> None:
-        self._observe(session.instance, report, self._kinds_in(report))
+        kinds = self._kinds_in(report)
+        for observe in self._observers:
+            observe(session.instance, report, kinds)
         outcome = self._reconciler.reconcile(
             report, session.starts, self._context.clock.now()
         )
--- a/chiveworks/scheduler/_shard_context.py
+++ b/chiveworks/scheduler/_shard_context.py
@@ -8,6 +8,7 @@
 from chiveworks.catalogue import CatalogueReplica
 from chiveworks.jobs import JobStore, TaskTable
 from chiveworks.scheduler._ledger import Ledger
+from chiveworks.scheduler._shard_metrics import ShardMetrics
 from chiveworks.scheduler._tenure import Tenure
 from chiveworks.scheduler._timings import SchedulerTimings
 from chiveworks.store import Store
@@ -27,6 +28,7 @@
         clock: Source of time.
         random: Source of random numbers.
         timings: Periods and limits.
+        metrics: Receives measurements.
     """
 
     tenure: Tenure
@@ -38,3 +40,4 @@
     clock: Clock
     random: Generator
     timings: SchedulerTimings
+    metrics: ShardMetrics
--- a/chiveworks/scheduler/_shard_environment.py
+++ b/chiveworks/scheduler/_shard_environment.py
@@ -9,8 +9,9 @@
 from chiveworks.catalogue import CatalogueEditor, CatalogueReplica
 from chiveworks.instances import Instance
 from chiveworks.membership import LocalShard, OwnerTable, ShardClient
-from chiveworks.placement import PlacementPolicy
+from chiveworks.placement import PlacementPolicy, SlowdownEstimator
 from chiveworks.scheduler._report_observer import ReportObserver
+from chiveworks.scheduler._shard_metrics import ShardMetrics
 from chiveworks.scheduler._timings import SchedulerTimings
 from chiveworks.store import Store
 from chiveworks.workers import WorkerControl
@@ -37,6 +38,9 @@
         list_workers: Workers of the zone, as listed.
         load_of: Measured processor load of a worker, 0 to 1.
         on_report: Receives each report, for learning.
+        estimator: Predicted slowdowns of pairs of kinds.
+        tolerated_slowdown: Slowdown of services above which they are protected.
+        metrics: Receives measurements.
         clock: Source of time.
         random: Source of random numbers.
         timings: Periods and limits.
@@ -58,6 +62,9 @@
     list_workers: Callable[[], tuple[Instance, ...]]
     load_of: Callable[[WorkerId], float]
     on_report: ReportObserver
+    estimator: SlowdownEstimator
+    tolerated_slowdown: float
+    metrics: ShardMetrics
     clock: Clock
     random: Generator
     timings: SchedulerTimings
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -7,14 +7,16 @@
 from chiveworks.instances import Instance
 from chiveworks.jobs import JobStore, TaskTable
 from chiveworks.journal import Journal
-from chiveworks.placement import Quarantine, TaskQueue, queue_orders
+from chiveworks.placement import ProtectionPolicy, Quarantine, TaskQueue, queue_orders
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._fleet import Fleet
 from chiveworks.scheduler._job_closer import JobCloser
 from chiveworks.scheduler._job_registrar import JobRegistrar
 from chiveworks.scheduler._ledger import Ledger
 from chiveworks.scheduler._override_resolver import OverrideResolver
+from chiveworks.scheduler._quotas import Quotas
 from chiveworks.scheduler._reconcile import Reconciler
+from chiveworks.scheduler._service_protection import ServiceProtection
 from chiveworks.scheduler._session_keeper import SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_environment import ShardEnvironment
@@ -22,6 +24,7 @@
 from chiveworks.scheduler._shard_service import ShardService
 from chiveworks.scheduler._start_round import StartRound
 from chiveworks.scheduler._tenure import Tenure
+from chiveworks.scheduler._timings import SchedulerTimings
 from chiveworks.scheduler._work_queue import WorkQueue
 from chiveworks.scheduler._worker_session import WorkerSession
 from chiveworks.scheduler._zone_departure import ZoneDeparture
@@ -57,7 +60,8 @@
     background = Background(group)
     quarantine = Quarantine(environment.clock, len(environment.list_workers()))
     order = queue_orders.create(environment.queue_order)
-    queue = WorkQueue(TaskQueue(order), table, environment.clock)
+    task_queue = TaskQueue(order)
+    queue = WorkQueue(task_queue, table, environment.clock)
     queue.load()
     fleet = Fleet(
         table,
@@ -67,9 +71,6 @@
         environment.load_of,
     )
     timings = environment.timings
-    longest_lease = timings.first_lease_bound
-    if tenure.predecessor_released:
-        longest_lease = timings.lease_bound
 
     def open_session(instance: Instance) -> WorkerSession:
         return WorkerSession(
@@ -78,7 +79,7 @@
             tenure,
             environment.clock,
             timings,
-            tenure.started + longest_lease,
+            tenure.started + _longest_former_lease(tenure, timings),
         )
 
     keeper = SessionKeeper(
@@ -87,9 +88,19 @@
         background,
         open_session,
         environment.list_workers,
-        environment.on_report,
         lambda: len(queue) > 0,
     )
+    keeper.add_observer(environment.on_report)
+    keeper.add_observer(
+        ServiceProtection(
+            context,
+            ProtectionPolicy(environment.clock),
+            keeper,
+            background,
+            environment.estimator,
+            environment.tolerated_slowdown,
+        ).observe
+    )
     scheduler = ShardScheduler(
         context,
         queue,
@@ -99,6 +110,7 @@
         ZoneDeparture(context, environment.shards, environment.zones),
         StartRound(context, queue, fleet, environment.policy, quarantine),
         background,
+        Quotas(environment.replica, task_queue, environment.zones),
     )
     context.ledger.follow(scheduler.note_change)
     group.create_task(context.ledger.run())
@@ -112,6 +124,13 @@
     return ShardParts(scheduler, service)
 
 
+def _longest_former_lease(tenure: Tenure, timings: SchedulerTimings) -> timedelta:
+    """Returns how long leases that a former owner renewed may still last."""
+    if tenure.predecessor_released:
+        return timings.lease_bound
+    return timings.first_lease_bound
+
+
 def _create_context(
     environment: ShardEnvironment, tenure: Tenure, table: TaskTable, journal: Journal
 ) -> ShardContext:
@@ -126,4 +145,5 @@
         clock=environment.clock,
         random=environment.random,
         timings=environment.timings,
+        metrics=environment.metrics,
     )
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -5,6 +5,7 @@
 from chiveworks.placement import Quarantine
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._job_closer import JobCloser
+from chiveworks.scheduler._quotas import Quotas
 from chiveworks.scheduler._session_keeper import SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._start_round import StartRound
@@ -25,6 +26,7 @@
         departure: ZoneDeparture,
         start_round: StartRound,
         background: Background,
+        quotas: Quotas,
     ) -> None:
         self._context = context
         self._queue = queue
@@ -34,6 +36,8 @@
         self._departure = departure
         self._start_round = start_round
         self._background = background
+        self._quotas = quotas
+        self._metrics = context.metrics
 
     def start(self) -> None:
         """Starts the loops; the ledger runs beside them."""
@@ -74,14 +78,19 @@
         while True:
             self._keeper.update()
             self._quarantine.resize(len(self._keeper.sessions))
+            self._quotas.refresh()
             self._closer.refuse_oversized()
             self._closer.close_ended()
             await self._start_round.run(self._keeper.sessions)
+            self._metrics.record_queue_length('tasks', len(self._queue))
             await self._context.clock.sleep(self._context.timings.commit_tick)
 
     async def _run_departure(self) -> None:
         while True:
             for task in self._departure.tasks_to_evict():
+                if task.state is not TaskState.STOPPING:
+                    job = self._context.table.job_of(task.task_id)
+                    self._metrics.count_eviction(job.tenant, 'zone')
                 await self._keeper.stop_task(task, checkpoint=True)
             await self._departure.move_jobs()
             await self._context.clock.sleep(self._context.timings.commit_tick)
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -129,7 +129,9 @@
             )
             started = await self._control.start(order)
             if isinstance(started, Ok) or _is_already_started(started.err_value):
-                self.starts[order.task_id].phase = StartPhase.CONFIRMED
+                track = self.starts[order.task_id]
+                track.phase = StartPhase.CONFIRMED
+                track.confirmed = self._clock.monotonic()
                 return Ok(None)
             return started
 
--- a/chiveworks/scheduler/tests/shard_bench.py
+++ b/chiveworks/scheduler/tests/shard_bench.py
@@ -37,8 +37,9 @@
     PeerPool,
     ShardClient,
 )
-from chiveworks.placement import FirstFit
+from chiveworks.placement import FirstFit, SlowdownEstimator
 from chiveworks.scheduler import SchedulerTimings, ShardCandidate, ShardEnvironment
+from chiveworks.telemetry import Metrics
 from standins.store import MemoryStore, StoreEngine
 from standins.workers import MemoryWorkerControl, SimulatedWorker, WorkerSpec
 
@@ -194,6 +195,9 @@
             list_workers=lambda: self.instances(zone),
             load_of=lambda _worker: 0.0,
             on_report=lambda _instance, _report, _kinds: None,
+            estimator=SlowdownEstimator(clock),
+            tolerated_slowdown=1.5,
+            metrics=Metrics(clock, zone, EntryId(f'{zone}-e{number}')),
             clock=clock,
             random=np.random.default_rng((self.seed, number)),
             timings=self.timings,
--- a/chiveworks/settings/_placement.py
+++ b/chiveworks/settings/_placement.py
@@ -33,3 +33,6 @@
 
     policy: Literal['interference_aware', 'first_fit'] = 'interference_aware'
     weights: PlacementWeights = PlacementWeights()
+    # Slowdown of a service, as workers report it, above which the batch tasks
+    # beside it are throttled and in the end evicted.
+    tolerated_slowdown: Annotated[float, Field(ge=1, allow_inf_nan=False)] = 1.5
