Bound what the store keeps and what waiting processes ask of it

Cause: a process that waited for the shard wrote three times every 3 s (about 215 writes a second at the design size); job records never expired; a result larger than a store value could never be recorded. Change: waiting processes watch the owner key and write only when it is gone; ended jobs carry a 7-day lease shared by the hour; results are limited to 500 kB a job; tasks move off workers that the platform takes away; an unschedulable job starts nothing more. Conclusion: calls of waiting processes are one watch in 5 s each.

--- a/chiveworks/entry/_job_request.py
+++ b/chiveworks/entry/_job_request.py
@@ -1,5 +1,6 @@
 """Body of a job submission."""
 
+import json
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -28,7 +29,7 @@
 
     def check_size(self) -> None:
         """Raises ValueError when the payloads together are too large."""
-        total_bytes = sum(len(payload.encode()) for payload in self.payloads)
+        total_bytes = sum(len(json.dumps(payload)) for payload in self.payloads)
         if total_bytes > _PAYLOADS_BYTES:
             raise ValueError(
                 f'payloads hold {total_bytes} bytes, at most {_PAYLOADS_BYTES} fit'
--- a/chiveworks/jobs/_job_store.py
+++ b/chiveworks/jobs/_job_store.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from chiveworks.base import Failure, JobId, Revision, TenantName
+from chiveworks.base import Failure, JobId, Revision, StoreLeaseId, TenantName
 from chiveworks.jobs._job_record import JobRecord
 from chiveworks.store import Store, StoreConflict
 
@@ -45,10 +45,18 @@
         )
 
     async def write(
-        self, job: JobRecord, expected: Revision
+        self,
+        job: JobRecord,
+        expected: Revision,
+        lease: StoreLeaseId | None = None,
     ) -> Result[Revision, Failure | StoreConflict]:
         """Writes a job if its record is at `expected` (0: absent).
 
+        Args:
+            job: The job.
+            expected: Revision that the record must have.
+            lease: Store lease that removes the record when it lapses.
+
         Returns:
             The new revision. A lost answer is settled by reading the record back
             and comparing its contents; the failure stays "outcome unknown" when
@@ -56,7 +64,7 @@
         """
         key = f'{_PREFIX}{job.job_id}'
         stored = job.encode()
-        written = await self._store.compare_and_swap(key, stored, expected)
+        written = await self._store.compare_and_swap(key, stored, expected, lease)
         if isinstance(written, Ok) or isinstance(written.err_value, StoreConflict):
             return written
         read = await self._store.fetch(key)
--- a/chiveworks/scheduler/_attempt_end.py
+++ b/chiveworks/scheduler/_attempt_end.py
@@ -1,10 +1,16 @@
 """What follows from the way an attempt ended (table in docs/design.md, section 3)."""
 
+import json
+
 from chiveworks.base import TaskId
 from chiveworks.jobs import JobRecord, TaskEnded, TaskRecord
 from chiveworks.membership import TaskState
 from chiveworks.workers import ReportedState, StopCause, TaskReport
 
+#: Encoded results of a job. With its payloads they must fit one value of the
+#: store (1 MB), since the journal and the job's record hold them together.
+RESULT_BYTES_PER_JOB = 500_000
+
 
 def never_started(job: JobRecord, task: TaskRecord) -> TaskEnded:
     """Returns the end of an attempt that certainly did not start."""
@@ -23,12 +29,21 @@
 def reported(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
     """Returns the end of an attempt that the worker reported."""
     if report.state is ReportedState.FINISHED:
-        return _end(task, TaskState.FINISHED, result=report.result)
+        return _finished(job, task, report)
     if report.state is ReportedState.FAILED:
         return _failed(job, task, report)
     return _stopped(job, task, report)
 
 
+def _finished(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
+    limit_bytes = RESULT_BYTES_PER_JOB // len(job.tasks)
+    size_bytes = len(json.dumps(report.result))
+    if size_bytes > limit_bytes:
+        reason = f'the result has {size_bytes} bytes, at most {limit_bytes} fit'
+        return _end(task, TaskState.FAILED, reason=reason)
+    return _end(task, TaskState.FINISHED, result=report.result)
+
+
 def _failed(job: JobRecord, task: TaskRecord, report: TaskReport) -> TaskEnded:
     failures = task.failures + 1
     retry = job.spec.idempotent and failures <= job.spec.retry_limit
--- a/chiveworks/scheduler/_job_closer.py
+++ b/chiveworks/scheduler/_job_closer.py
@@ -14,9 +14,12 @@
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._fleet import Fleet
 from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.store import RetentionLease
 
 _LOG = logging.getLogger(__name__)
 _RETRY = timedelta(seconds=2)
+#: Time for which the result of an ended job can be fetched at least.
+_RETENTION = timedelta(days=7)
 
 
 class JobCloser:
@@ -33,6 +36,7 @@
         self._fleet = fleet
         self._background = background
         self._list_workers = list_workers
+        self._retention = RetentionLease(context.store, context.clock, _RETENTION)
         self._closing: set[JobId] = set()
 
     def refuse_oversized(self) -> None:
@@ -80,5 +84,10 @@
             return True
         if stored.job.is_final:
             return True
-        written = await self._context.job_store.write(job, stored.revision)
+        lease = await self._retention.current()
+        if isinstance(lease, Err):
+            return False
+        written = await self._context.job_store.write(
+            job, stored.revision, lease.ok_value
+        )
         return isinstance(written, Ok)
--- a/chiveworks/scheduler/_report_observer.py
+++ b/chiveworks/scheduler/_report_observer.py
@@ -12,6 +12,6 @@
     """Called with each report that a shard owner receives."""
 
     def __call__(
-        self, instance: Instance, report: WorkerReport, kinds: Mapping[TaskId, str]
+        self, instance: Instance, report: WorkerReport, kinds: Mapping[TaskId, str], /
     ) -> None:
         """Takes a report; `kinds` maps the listed tasks of known jobs."""
--- a/chiveworks/scheduler/_shard_candidate.py
+++ b/chiveworks/scheduler/_shard_candidate.py
@@ -18,7 +18,6 @@
 from chiveworks.scheduler._tenure import Tenure
 
 _LOG = logging.getLogger(__name__)
-_VACANCY_WAIT = timedelta(seconds=3)
 _RETRY = timedelta(seconds=1)
 _RELEASE_LIMIT = timedelta(seconds=5)
 
@@ -35,13 +34,12 @@
         """Contends and schedules; ends after `release`."""
         while not self._leaving.is_set():
             lease = self._create_lease()
+            await lease.wait_for_vacancy()
             acquired = await lease.acquire()
             if isinstance(acquired, Err):
                 _LOG.warning('no ownership of the shard: %s', acquired.err_value)
                 await self._pause(_RETRY)
-            elif acquired.ok_value is None:
-                await lease.wait_for_vacancy(_VACANCY_WAIT)
-            elif not self._leaving.is_set():
+            elif acquired.ok_value is not None:
                 await self._serve(lease, acquired.ok_value)
 
     async def release(self) -> None:
--- a/chiveworks/scheduler/_shard_lease.py
+++ b/chiveworks/scheduler/_shard_lease.py
@@ -22,6 +22,9 @@
 
 _ABSENT = Revision(0)
 _NONCE_BYTES = 12
+#: A silent connection delays a take-over by at most this long.
+_VACANCY_WAIT = timedelta(seconds=5)
+_RETRY = timedelta(seconds=1)
 
 
 class ShardLease:
@@ -75,17 +78,33 @@
             await self._store.revoke_lease(lease)
         return epoch
 
-    async def wait_for_vacancy(self, wait: timedelta) -> None:
-        """Waits until the owner key may be gone, at most `wait`."""
+    async def wait_for_vacancy(self) -> None:
+        """Waits until the shard has no owner.
+
+        Only then is `acquire` worth its writes: at the design size hundreds of
+        processes wait, and each attempt costs three writes.
+        """
+        while not await self._is_vacant():
+            await self._clock.sleep(_RETRY * float(self._random.uniform(0.5, 1)))
+
+    async def _is_vacant(self) -> bool:
+        """Watches the owner key until it is gone; False after a failure."""
         read = await self._store.fetch(owner_key(self._zone))
         if isinstance(read, Err):
-            await self._clock.sleep(wait)
-        elif read.ok_value.first() is not None:
+            return False
+        if read.ok_value.first() is None:
+            return True
+        revision = read.ok_value.revision
+        while True:
             watched = await self._store.watch(
-                owner_key(self._zone), read.ok_value.revision, wait
+                owner_key(self._zone), revision, _VACANCY_WAIT
             )
-            if isinstance(watched, Err):
-                await self._clock.sleep(wait)
+            if isinstance(watched, Err) or watched.ok_value.compacted:
+                return False
+            events = watched.ok_value.events
+            if events and events[-1].deleted:
+                return True
+            revision = watched.ok_value.revision
 
     async def hold(self) -> None:
         """Renews the lease until it is lost.
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -1,6 +1,7 @@
 """Scheduling of one shard during one tenure."""
 
-from chiveworks.jobs import JobRecord, OwnerReleased, TaskEnded
+from chiveworks.instances import InstanceState
+from chiveworks.jobs import JobRecord, OwnerReleased, TaskEnded, TaskRecord
 from chiveworks.membership import TaskState
 from chiveworks.placement import Quarantine
 from chiveworks.scheduler._background import Background
@@ -85,9 +86,21 @@
             self._metrics.record_queue_length('tasks', len(self._queue))
             await self._context.clock.sleep(self._context.timings.commit_tick)
 
+    def _on_leaving_workers(self) -> tuple[TaskRecord, ...]:
+        """Returns the tasks to move off workers that the platform takes away."""
+        table = self._context.table
+        return tuple(
+            task
+            for session in self._keeper.sessions.values()
+            if session.instance.state is InstanceState.LEAVING
+            for task in table.active_on(session.worker)
+            if table.job_of(task.task_id).spec.resumable
+        )
+
     async def _run_departure(self) -> None:
         while True:
-            for task in self._departure.tasks_to_evict():
+            evicted = (*self._departure.tasks_to_evict(), *self._on_leaving_workers())
+            for task in evicted:
                 if task.state is not TaskState.STOPPING:
                     job = self._context.table.job_of(task.task_id)
                     self._metrics.count_eviction(job.tenant, 'zone')
--- a/chiveworks/scheduler/_start_round.py
+++ b/chiveworks/scheduler/_start_round.py
@@ -136,7 +136,12 @@
 
     def _may_claim(self, task: TaskRecord) -> bool:
         job = self._table.job_of(task.task_id)
-        return task.state is TaskState.QUEUED and not job.moving and not job.cancelled
+        return (
+            task.state is TaskState.QUEUED
+            and not job.moving
+            and not job.cancelled
+            and not job.unschedulable
+        )
 
     def _still_fits(
         self, demand: Demand, session: WorkerSession, picks: list[_Pick]
