--- a/chiveworks/entry/_request_claims.py
+++ b/chiveworks/entry/_request_claims.py
@@ -15,13 +15,16 @@
     RequestId,
     Revision,
     Step,
+    StoreLeaseId,
     TenantName,
     Verdict,
 )
 from chiveworks.entry._request_record import RequestClaim, RequestRecord
-from chiveworks.store import Store, StoreConflict, StoreEntry
+from chiveworks.store import RetentionLease, Store, StoreConflict, StoreEntry
 
 _PREFIX = 'requests/'
+#: Time for which a repeated key is recognized at least.
+_RETENTION = timedelta(days=1)
 #: Writes tried until the claim's fate is known.
 _TRIES = 3
 _PAUSE = timedelta(milliseconds=50)
@@ -41,6 +44,7 @@
     def __init__(self, store: Store, clock: Clock) -> None:
         self._store = store
         self._clock = clock
+        self._retention = RetentionLease(store, clock, _RETENTION)
         self._background: set[asyncio.Task[None]] = set()
 
     async def claim(
@@ -56,14 +60,19 @@
         at = _format(self._clock.now())
         nonce = uuid.uuid4().hex
         record = RequestRecord(nonce, request_id, 'running', 0, at)
-        return await self._create(f'{_PREFIX}{digest}', record)
+        lease = await self._retention.current()
+        if isinstance(lease, Err):
+            return Err(_as_not_run(lease.err_value))
+        return await self._create(f'{_PREFIX}{digest}', record, lease.ok_value)
 
     async def record(self, claim: RequestClaim, state: str, status: int = 0) -> None:
         """Records an outcome; goes on trying in the background if the store is away."""
         old = claim.record
         new = RequestRecord(old.nonce, old.request_id, state, status, old.claimed_at)
         await self._settle_soon(
-            lambda: self._store.compare_and_swap(claim.key, new.pack(), claim.revision)
+            lambda: self._store.compare_and_swap(
+                claim.key, new.pack(), claim.revision, claim.lease
+            )
         )
 
     async def withdraw(self, claim: RequestClaim) -> None:
@@ -107,12 +116,12 @@
                     await self._store.delete(key, entry.mod_revision)
 
     async def _create(
-        self, key: str, record: RequestRecord
+        self, key: str, record: RequestRecord, lease: StoreLeaseId
     ) -> Result[RequestClaim, RequestRecord | Failure]:
         failure = Failure.not_run(Step.CLAIM, 'store', 'the claim was not tried')
         uncertain = False
         for _ in range(_TRIES):
-            created = await self._try_create(key, record)
+            created = await self._try_create(key, record, lease)
             problem = created.err()
             if not isinstance(problem, Failure):
                 return created
@@ -126,11 +135,13 @@
         return Err(_as_not_run(failure))
 
     async def _try_create(
-        self, key: str, record: RequestRecord
+        self, key: str, record: RequestRecord, lease: StoreLeaseId
     ) -> Result[RequestClaim, RequestRecord | Failure]:
-        written = await self._store.compare_and_swap(key, record.pack(), Revision(0))
+        written = await self._store.compare_and_swap(
+            key, record.pack(), Revision(0), lease
+        )
         if isinstance(written, Ok):
-            return Ok(RequestClaim(key, written.ok_value, record))
+            return Ok(RequestClaim(key, written.ok_value, record, lease))
         problem = written.err_value
         if isinstance(problem, Failure) and problem.verdict is Verdict.NOT_RUN:
             return Err(problem)
@@ -138,7 +149,7 @@
         # by an earlier write whose answer was lost.
         holder = await self._read(key)
         if isinstance(holder, Ok) and holder.ok_value is not None:
-            return _settle(holder.ok_value, record)
+            return _settle(holder.ok_value, record, lease)
         if isinstance(problem, Failure):
             return Err(problem)
         text = 'the key is in use, but its holder cannot be read'
@@ -150,11 +161,11 @@
 
 
 def _settle(
-    entry: StoreEntry, own: RequestRecord
+    entry: StoreEntry, own: RequestRecord, lease: StoreLeaseId
 ) -> Result[RequestClaim, RequestRecord | Failure]:
     record = RequestRecord.unpack(entry.value)
     if record.nonce == own.nonce:
-        return Ok(RequestClaim(entry.key, entry.mod_revision, own))
+        return Ok(RequestClaim(entry.key, entry.mod_revision, own, lease))
     return Err(record)
 
 
--- a/chiveworks/entry/_request_record.py
+++ b/chiveworks/entry/_request_record.py
@@ -4,7 +4,7 @@
 
 import msgpack
 
-from chiveworks.base import RequestId, Revision
+from chiveworks.base import RequestId, Revision, StoreLeaseId
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +51,10 @@
         key: Key in the store.
         revision: Its revision.
         record: Its contents.
+        lease: Store lease that removes it in the end.
     """
 
     key: str
     revision: Revision
     record: RequestRecord
+    lease: StoreLeaseId
