--- a/chiveworks/membership/tests/fakes.py
+++ b/chiveworks/membership/tests/fakes.py
@@ -24,6 +24,7 @@
         self.is_down = False
         self.silent_watches = 0
         self.calls = []
+        self.polls_per_watch = 15
 
     def put(self, key, deleted=False):
         self.revision = Revision(self.revision + 1)
@@ -59,10 +60,10 @@
         if self.silent_watches:
             self.silent_watches -= 1
             await self.clock.sleep(timedelta(days=1))
-        for _ in range(15):
+        for _ in range(self.polls_per_watch):
             if self.is_watch_ready(after):
                 break
-            await self.clock.sleep(wait / 15)
+            await self.clock.sleep(wait / self.polls_per_watch)
         return Ok(self.batch(after))
 
     def is_watch_ready(self, after):
