Count tasks finished while a zone leaves and returns

Cause: core seconds of finished tasks hide how many tasks were finished. Change: bench_decisions reports window_finished beside window_work.

--- a/benchmarks/_decision_run.py
+++ b/benchmarks/_decision_run.py
@@ -42,6 +42,7 @@
     evictions: int
     lost_work_s: float
     window_work: float
+    window_finished: int
     failed_starts: int
     urgent_wait_p99_s: float
 
@@ -73,6 +74,7 @@
         self.latencies: list[NDArray[np.float64]] = []
         self.urgent_waits: list[float] = []
         self.window_work = 0.0
+        self.window_finished = 0
         self.failed_starts = 0
 
     def run(self) -> RunResult:
@@ -188,6 +190,7 @@
                 self.finished.append((now, job))
                 if _LEAVE_S <= now < _RETURN_S + 60:
                     self.window_work += _work(job)
+                    self.window_finished += 1
 
     def _result(self) -> RunResult:
         latencies = np.concatenate(self.latencies)
@@ -205,6 +208,7 @@
             evictions=sum(zone.evictions for zone in self.zones),
             lost_work_s=sum(zone.lost_s for zone in self.zones),
             window_work=self.window_work,
+            window_finished=self.window_finished,
             failed_starts=self.failed_starts,
             urgent_wait_p99_s=float(np.quantile(waits, 0.99)),
         )
