Reserve processors by a lower quantile than memory

Cause: with 30% wrong sizes a 0.95 quantile reserves the size of the largest tasks for all, so processors stay idle and tasks are late. Change: SizeEstimator covers 0.75 of observed tasks for processors and 0.95 for memory and accelerators; never less than declared.

--- a/chiveworks/placement/_size_estimator.py
+++ b/chiveworks/placement/_size_estimator.py
@@ -18,14 +18,22 @@
     has declared at any time, whatever was observed before.
 
     Args:
-        share: Share of observed tasks that a reservation has to cover.
+        cpu_share: Share of observed tasks whose processors a reservation covers.
+            A few large tasks slow their neighbours down; covering them all
+            would leave processors idle beside the many small ones.
+        share: The same for memory and accelerators, which cannot be shared.
         min_samples: Tasks below which the declared size is kept.
         prior_weight: Tasks that the declared run time is worth.
     """
 
     def __init__(
-        self, share: float = 0.95, min_samples: int = 5, prior_weight: float = 3
+        self,
+        cpu_share: float = 0.75,
+        share: float = 0.95,
+        min_samples: int = 5,
+        prior_weight: float = 3,
     ) -> None:
+        self.cpu_share = cpu_share
         self.share = share
         self.min_samples = min_samples
         self.prior_weight = prior_weight
@@ -40,11 +48,12 @@
 
     def predict(self, kind: str, declared: Resources) -> Resources:
         """Returns the amount to reserve: the declared or the observed one if larger."""
+        check_share('cpu_share', self.cpu_share)
         check_share('share', self.share)
         history = self.histories_.get(kind)
         if history is None or len(history.used) < self.min_samples:
             return declared
-        return declared.maximum(history.quantile(self.share))
+        return declared.maximum(history.quantile(self.cpu_share, self.share))
 
     def predict_run_time(self, kind: str, declared: timedelta) -> timedelta:
         """Returns the declared run time, corrected by the median of observed ratios."""
