Add a bench of control's cost against its size

Each cost is measured at several sizes and a line is fitted. Store calls are counted at the stand-in's engine, bytes by the kernel's counters of each connection.

--- /dev/null
+++ b/benchmarks/bench_control_scale.py
@@ -0,0 +1,766 @@
+"""Cost of control against its size, with a fitted slope for each figure.
+
+Every cost is measured at several sizes. `slope` and `base` are those of a straight
+line through the points; `exponent` is the slope on logarithmic axes: 0 for a cost
+that does not depend on the size, 1 for one proportional to it. Store calls are
+counted at the engine of the store's stand-in; bytes come from the kernel's counters
+of each connection (TCP_INFO), so they include HTTP headers but not those of TCP/IP.
+"""
+
+import argparse
+import asyncio
+import gc
+import json
+import math
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from dataclasses import asdict, dataclass
+from datetime import datetime, timedelta, timezone
+from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
+
+import aiohttp
+import numpy as np
+import uvloop
+
+from benchmarks.report import describe_machine, write_report
+from benchmarks.tcp_bytes import transport_bytes
+from chiveworks.base import (
+    Attempt,
+    BootId,
+    Epoch,
+    EntryId,
+    JobId,
+    ManualClock,
+    RackName,
+    Resources,
+    Revision,
+    ServiceClass,
+    SystemClock,
+    TaskId,
+    TenantName,
+    TicketMs,
+    WorkerId,
+    ZoneName,
+)
+from chiveworks.catalogue import (
+    CatalogueEditor,
+    CatalogueEntry,
+    CatalogueReplica,
+    ConfigItem,
+    entry_key,
+)
+from chiveworks.instances import Instance, InstanceRole, InstanceState
+from chiveworks.jobs import (
+    JobAccepted,
+    JobRecord,
+    JobStore,
+    TaskClaimed,
+    TaskEnded,
+    TaskRecord,
+    TaskSpec,
+    TaskTable,
+    decode_change,
+    encode_change,
+    task_id_of,
+)
+from chiveworks.journal import Journal
+from chiveworks.membership import ShardClient, TaskState
+from chiveworks.placement import Quarantine
+from chiveworks.scheduler import Ledger, Reconciler, SchedulerTimings, Tenure
+from chiveworks.scheduler._background import Background
+from chiveworks.scheduler._fleet import Fleet
+from chiveworks.scheduler._job_closer import JobCloser
+from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.scheduler._zone_departure import ZoneDeparture
+from chiveworks.scheduler.tests.shard_bench import ShardBench
+from chiveworks.workers import (
+    HttpWorkerControl,
+    ReportedState,
+    Renewal,
+    StartOrder,
+    TaskReport,
+    UsageSample,
+    WorkerReport,
+)
+from examples.fleet import Program
+from examples.fleet._ports import LOOPBACK, free_ports
+from standins.store import MemoryStore, StoreEngine
+
+ZONE = ZoneName('laita')
+TASKS_PER_JOB = 10
+WORKERS_PER_SHARD = 300
+NEEDED = Resources(1000, 1 << 30, 0)
+NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
+SHARD_SIZES = (100, 400, 1600, 6400, 25_600)
+JOBS_PER_DAY = 180_000
+TRIES = 5
+
+
+@dataclass(frozen=True)
+class Curve:
+    """A cost at several sizes.
+
+    Attributes:
+        role: Part of the system that bears the cost.
+        cost: What was measured, with its unit.
+        size: What it was measured against.
+        points: Size and cost.
+    """
+
+    role: str
+    cost: str
+    size: str
+    points: list[tuple[float, float]]
+
+    @property
+    def line(self) -> tuple[float, float]:
+        """Slope and base of a straight line, weighted to relative errors."""
+        sizes, costs = (np.array(column, float) for column in zip(*self.points))
+        weights = 1 / np.maximum(costs, costs.max() / 1e4)
+        slope, base = np.polyfit(sizes, costs, 1, w=weights)
+        return float(slope), float(base)
+
+    @property
+    def exponent(self) -> float:
+        """Slope on logarithmic axes over the upper half of the sizes."""
+        upper = self.points[len(self.points) // 2 - 1 :]
+        upper = [point for point in upper if min(point) > 0]
+        if len(upper) < 2:
+            return math.nan
+        sizes, costs = (np.log(column) for column in zip(*upper))
+        return float(np.polyfit(sizes, costs, 1)[0])
+
+    def report(self) -> dict:
+        """Returns the fields of the JSON report."""
+        slope, base = self.line
+        return {**asdict(self), 'slope': slope, 'base': base, 'exponent': self.exponent}
+
+
+def busy_ms(work: Callable[[], object], tries: int = TRIES) -> float:
+    """Returns the least processor time of several tries."""
+    taken = []
+    for _ in range(tries):
+        gc.collect()
+        started = time.process_time()
+        work()
+        taken.append(time.process_time() - started)
+    return min(taken) * 1000
+
+
+def busy_each_us(work: Callable[[], object], least_s: float = 0.05) -> float:
+    """Returns processor time of a short operation, repeated until it is measurable."""
+    count = 1
+    while True:
+        started = time.process_time()
+        for _ in range(count):
+            work()
+        taken = time.process_time() - started
+        if taken > least_s:
+            return taken / count * 1e6
+        count *= 2
+
+
+def make_job(number: int, tasks: int, state: TaskState) -> JobRecord:
+    job_id = JobId(f'regie.{number:032x}')
+    spec = TaskSpec('recalculation', 'billing', 'recalculation', NEEDED)
+    records = [
+        TaskRecord(task_id_of(job_id, index), '{"reading": 123456789}')
+        for index in range(tasks)
+    ]
+    if state is not TaskState.QUEUED:
+        for index, task in enumerate(records):
+            task.state = state
+            task.attempt = Attempt(1)
+            task.worker = worker_of(number * tasks + index)
+            task.boot_id = BootId('f' * 32)
+            task.reserved = NEEDED
+    return JobRecord(
+        job_id,
+        TenantName('regie'),
+        f'job-{number}',
+        'd' * 32,
+        'n' * 24,
+        spec,
+        ZONE,
+        0,
+        NOW,
+        records,
+    )
+
+
+def worker_of(number: int) -> WorkerId:
+    return WorkerId(f'laita-w{number % WORKERS_PER_SHARD}')
+
+
+def make_table(tasks: int, state: TaskState = TaskState.RUNNING) -> TaskTable:
+    table = TaskTable()
+    for number in range(tasks // TASKS_PER_JOB):
+        table.apply(JobAccepted(make_job(number, TASKS_PER_JOB, state)))
+    return table
+
+
+def make_claims(table: TaskTable) -> list[TaskClaimed]:
+    return [
+        TaskClaimed(task_id, Attempt(1), worker_of(number), BootId('f' * 32))
+        for number, task_id in enumerate(table.tasks)
+    ]
+
+
+def make_store() -> MemoryStore:
+    clock = SystemClock()
+    return MemoryStore(StoreEngine(clock), clock)
+
+
+def open_journal(store: MemoryStore) -> Journal:
+    return Journal(store, ZONE, SystemClock(), np.random.default_rng(1))
+
+
+async def measure_journal() -> list[Curve]:
+    encoding, appending, sizes = [], [], []
+    for count in (1, 10, 50, 230, 1000):
+        claims = make_claims(make_table(max(count, TASKS_PER_JOB), TaskState.QUEUED))
+        claims = claims[:count]
+        encoded = tuple(encode_change(claim) for claim in claims)
+        journal = open_journal(make_store())
+        await journal.open(Epoch(1), ())
+        taken = []
+        for _ in range(100):
+            started = time.process_time()
+            await journal.append(encoded)
+            taken.append(time.process_time() - started)
+        each = busy_each_us(lambda: [encode_change(claim) for claim in claims])
+        encoding.append((count, each))
+        appending.append((count, float(np.median(taken)) * 1e6))
+        sizes.append((count, float(sum(map(len, encoded)))))
+    return [
+        Curve('journal', 'encode, us', 'changes per record', encoding),
+        Curve('journal', 'append one record, us', 'changes per record', appending),
+        Curve('journal', 'record, bytes', 'changes per record', sizes),
+    ]
+
+
+async def measure_replay() -> list[Curve]:
+    encoding, sizes, replay, memory = [], [], [], []
+    for tasks in SHARD_SIZES:
+        store = make_store()
+        journal = open_journal(store)
+        await journal.open(Epoch(1), ())
+        table = make_table(tasks)
+        encoding.append(
+            (tasks, busy_ms(lambda: [encode_change(one) for one in table.snapshot()]))
+        )
+        encoded = tuple(encode_change(one) for one in table.snapshot())
+        await journal.write_snapshot(encoded)
+        sizes.append((tasks, float(sum(map(len, encoded)))))
+        successor = open_journal(store)
+        replayed = await successor.open(Epoch(2), ())
+        gc.collect()
+        tracemalloc.start()
+        rebuilt = TaskTable()
+        for stored in replayed.unwrap().changes:
+            rebuilt.apply(decode_change(stored))
+        memory.append((tasks, float(tracemalloc.get_traced_memory()[0])))
+        tracemalloc.stop()
+        replay.append((tasks, await replay_ms(store)))
+    return [
+        Curve('shard owner', 'encode a snapshot, ms', 'tasks', encoding),
+        Curve('shard owner', 'snapshot, bytes', 'tasks', sizes),
+        Curve('shard owner', 'read and replay, ms', 'tasks', replay),
+        Curve('shard owner', 'task table, bytes', 'tasks', memory),
+    ]
+
+
+async def replay_ms(store: MemoryStore) -> float:
+    taken = []
+    for epoch in range(3, 3 + TRIES):
+        started = time.process_time()
+        journal = open_journal(store)
+        replayed = await journal.open(Epoch(epoch), ())
+        table = TaskTable()
+        for stored in replayed.unwrap().changes:
+            table.apply(decode_change(stored))
+        taken.append(time.process_time() - started)
+    return min(taken) * 1000
+
+
+async def measure_ledger() -> list[Curve]:
+    """Claims and ends a second, committed as 230 changes a tick."""
+    points = []
+    for tasks in SHARD_SIZES:
+        table = make_table(tasks, TaskState.QUEUED)
+        journal = open_journal(make_store())
+        await journal.open(Epoch(1), ())
+        ledger = Ledger(journal, table, SystemClock(), timedelta(0))
+        running = asyncio.create_task(ledger.run())
+        claims = make_claims(table)[:5000]
+        started = time.process_time()
+        for first in range(0, len(claims), 230):
+            batch = claims[first : first + 230]
+            await ledger.commit(*batch)
+            await ledger.commit(*map(end_of, batch))
+        taken = time.process_time() - started
+        running.cancel()
+        points.append((tasks, 2 * len(claims) / taken))
+    return [Curve('shard owner', 'ledger commits a second', 'tasks in shard', points)]
+
+
+def end_of(claim: TaskClaimed) -> TaskEnded:
+    return TaskEnded(claim.task_id, claim.attempt, TaskState.FINISHED, 'sum=1234')
+
+
+def make_report(table: TaskTable, worker: WorkerId) -> WorkerReport:
+    tasks = table.active_on(worker)
+    return WorkerReport(
+        worker,
+        BootId('f' * 32),
+        Epoch(1),
+        TicketMs(1000),
+        15_000,
+        tuple(
+            TaskReport(one.task_id, one.attempt, ReportedState.RUNNING, one.reserved)
+            for one in tasks
+        ),
+        tuple(UsageSample(one.task_id, NEEDED, 1.1, 3000) for one in tasks),
+    )
+
+
+def measure_reconciliation() -> list[Curve]:
+    by_worker = []
+    for per_worker in (1, 5, 21, 50, 200):
+        by_worker.append((per_worker, reconcile_us(per_worker * WORKERS_PER_SHARD)))
+    # The number of tasks on the worker stays the same as the shard grows.
+    by_shard = []
+    for tasks in (6000, 24_000, 96_000):
+        table = make_table(tasks)
+        report = make_report(table, worker_of(0))
+        few = set(task.task_id for task in report.tasks[:20])
+        table._on_worker[worker_of(0)] &= few
+        by_shard.append((tasks, reconcile_report_us(table)))
+    return [
+        Curve('shard owner', 'reconcile a report, us', 'tasks on worker', by_worker),
+        Curve('shard owner', 'reconcile 20 tasks, us', 'tasks in shard', by_shard),
+    ]
+
+
+def reconcile_us(tasks: int) -> float:
+    return reconcile_report_us(make_table(tasks))
+
+
+def reconcile_report_us(table: TaskTable) -> float:
+    reconciler = Reconciler(table, 2000)
+    report = make_report(table, worker_of(0))
+    return busy_each_us(lambda: reconciler.reconcile(report, {}, NOW))
+
+
+def measure_rounds() -> list[Curve]:
+    """Work of the periodic loops while nothing happens."""
+    points = []
+    for tasks in SHARD_SIZES:
+        table = make_table(tasks)
+        context = make_context(table)
+        instances = (make_instance(),)
+        quarantine = Quarantine(context.clock, 1)
+        fleet = Fleet(table, context.replica, quarantine, context.random, zero_load)
+        # Nothing ends here, so nothing is started in the background.
+        closer = JobCloser(context, fleet, cast(Background, None), lambda: instances)
+        departure = ZoneDeparture(context, cast(ShardClient, None), (ZONE,))
+
+        def run_round() -> None:
+            closer.refuse_oversized()
+            closer.close_ended()
+            departure.tasks_to_evict()
+            with suppress(StopIteration):
+                departure.move_jobs().send(None)
+
+        points.append((tasks, busy_each_us(run_round)))
+    return [Curve('shard owner', 'idle round, us', 'tasks in shard', points)]
+
+
+def make_context(table: TaskTable) -> ShardContext:
+    clock = SystemClock()
+    store = make_store()
+    return ShardContext(
+        tenure=Tenure(ZONE, EntryId('laita-e0'), Epoch(1), timedelta(0)),
+        table=table,
+        ledger=Ledger(open_journal(store), table, clock, timedelta(0)),
+        store=store,
+        job_store=JobStore(store),
+        replica=CatalogueReplica(),
+        clock=clock,
+        random=np.random.default_rng(1),
+        timings=SchedulerTimings(),
+    )
+
+
+def make_instance() -> Instance:
+    return Instance(
+        worker_of(0),
+        InstanceRole.WORKER,
+        ZONE,
+        RackName('r1'),
+        InstanceState.LIVE,
+        capacity=Resources(16_000, 60_000_000_000, 0),
+    )
+
+
+def zero_load(_worker: WorkerId) -> float:
+    return 0
+
+
+class CountingEngine(StoreEngine):
+    """Counts calls by the state they concern; a waiting watch is one call."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.by_state: Counter[str] = Counter()
+        self.is_counting = True
+
+    def count(self, kind: str, key: str) -> None:
+        part = next(
+            (name for name in ('journal', 'snapshot', 'owner') if f'/{name}' in key),
+            key.partition('/')[0],
+        )
+        if self.is_counting:
+            self.by_state[f'{kind} {part}'] += 1
+
+    def fetch(self, key: str):
+        self.count('read', key)
+        return super().fetch(key)
+
+    def list_prefix(self, prefix: str):
+        self.count('read', prefix)
+        return super().list_prefix(prefix)
+
+    def put(self, key: str, *rest):
+        self.count('write', key)
+        return super().put(key, *rest)
+
+    def delete(self, key: str, *rest):
+        self.count('write', key)
+        return super().delete(key, *rest)
+
+    def grant_lease(self, ttl: timedelta):
+        self.count('write', 'lease/')
+        return super().grant_lease(ttl)
+
+    def renew_lease(self, lease):
+        self.count('write', 'lease/')
+        return super().renew_lease(lease)
+
+    def revoke_lease(self, lease):
+        self.count('write', 'lease/')
+        return super().revoke_lease(lease)
+
+    async def watch(self, prefix: str, *rest):
+        self.count('watch', prefix)
+        return await super().watch(prefix, *rest)
+
+
+class CountingBench(ShardBench):
+    """Shards whose calls to the store are counted, except those of the bench."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.engine = CountingEngine(self.clock)
+        self.outsider = MemoryStore(self.engine, self.clock)
+
+    def spread_config(self) -> None:
+        self.engine.is_counting = False
+        super().spread_config()
+        self.engine.is_counting = True
+
+
+async def count_store_calls(
+    zones: int, starts_per_s: int, processes: int = 2, seconds: int = 20
+) -> dict[str, float]:
+    """Returns calls a second for each state, over all zones, by simulated time."""
+    names = tuple(ZoneName(f'zone{number}') for number in range(zones))
+    # An ended task holds its room until the next report, up to 4 s.
+    workers = max(2 * starts_per_s, 4)
+    bench = CountingBench(names, workers, processes)
+    await bench.start()
+    await bench.put_entry(idempotent=True)
+    await bench.advance(5)
+    job_calls: list[asyncio.Task] = []
+
+    def submit(number: int) -> None:
+        for name in names:
+            handler = bench.owners_of(name)[0].local.handler_of(name)
+            # Starts are spread over the ticks of a second, the worst case.
+            first, last = (starts_per_s * (number + end) // 4 for end in (0, 1))
+            submission = bench.submission(f'{name}-{number}', last - first)
+            job_calls.append(asyncio.ensure_future(handler.register(submission)))
+
+    for number in range(4 * (seconds + 5)):
+        if number == 20:
+            bench.engine.by_state.clear()
+            ran = len(bench.runs())
+        if starts_per_s:
+            submit(number)
+        await bench.advance(0.25)
+    rates = {state: count / seconds for state, count in bench.engine.by_state.items()}
+    rates['starts'] = (len(bench.runs()) - ran) / seconds
+    await asyncio.gather(*job_calls)
+    running = [process.task for process in bench.processes if process.task]
+    for task in running:
+        task.cancel()
+    await bench.advance(10)
+    await asyncio.wait(running, timeout=1)
+    return rates
+
+
+def total_calls(rates: dict[str, float], *, jobs: bool = False) -> float:
+    return sum(
+        rate
+        for state, rate in rates.items()
+        if state != 'starts' and (jobs or not state.endswith(' jobs'))
+    )
+
+
+async def measure_store_calls() -> tuple[list[Curve], dict]:
+    cases = {
+        f'{zones} zones, {processes} processes, {starts} starts/s': (
+            await count_store_calls(zones, starts, processes)
+        )
+        for zones, starts, processes in (
+            (1, 0, 1),
+            (1, 0, 2),
+            (1, 0, 4),
+            (2, 0, 2),
+            (4, 0, 2),
+            (1, 5, 2),
+            (1, 22, 2),
+            (1, 88, 2),
+        )
+    }
+    load = [
+        (starts or 1e-9, total_calls(cases[f'1 zones, 2 processes, {starts} starts/s']))
+        for starts in (5, 22, 88)
+    ]
+    zones = [
+        (count, total_calls(cases[f'{count} zones, 2 processes, 0 starts/s']))
+        for count in (1, 2, 4)
+    ]
+    processes = [
+        (count, total_calls(cases[f'1 zones, {count} processes, 0 starts/s']))
+        for count in (1, 2, 4)
+    ]
+    curves = [
+        Curve('store', 'calls a second, without jobs', 'starts a second', load),
+        Curve('store', 'idle calls a second', 'zones', zones),
+        Curve('store', 'idle calls a second', 'processes per zone', processes),
+    ]
+    return curves, cases
+
+
+async def measure_renewals() -> list[Curve]:
+    """Renews over HTTP with a worker in another process."""
+    (port,) = free_ports(1)
+    arguments = ('-m', 'standins.workers', '--host', LOOPBACK, '--port', str(port))
+    options = ('--zone=laita', '--rack=r', '--id-prefix=w', '--count=6')
+    with tempfile.TemporaryDirectory() as directory:
+        program = Program('workers', (*arguments, *options), Path(directory, 'log'))
+        await program.start()
+        try:
+            points = await measure_workers(f'http://{LOOPBACK}:{port}')
+        finally:
+            await program.stop()
+    return [
+        Curve(
+            'worker control',
+            name,
+            'tasks on worker',
+            [(tasks, figures[index]) for tasks, figures in points],
+        )
+        for index, name in enumerate(
+            ('renewal sent, bytes', 'renewal received, bytes', 'renewal at owner, us')
+        )
+    ]
+
+
+class RenewedWorker:
+    """A worker of the stand-in and the one connection to it."""
+
+    def __init__(self, url: str, tasks: int) -> None:
+        self.tasks = tasks
+        self._connector = aiohttp.TCPConnector(limit=1)
+        self._session = aiohttp.ClientSession(connector=self._connector)
+        self._control = HttpWorkerControl(self._session, url)
+        self._ticket = TicketMs(0)
+
+    async def start_tasks(self) -> None:
+        while not (await self.renew(0.1)).lease_left_ms:
+            await asyncio.sleep(0.1)
+        for number in range(self.tasks):
+            await self.renew()
+            (await self._control.start(order_of(number, self._ticket))).unwrap()
+
+    async def renew(self, retry_s: float = 0) -> WorkerReport:
+        renewed = await self._control.renew(renewal_with(self._ticket))
+        while retry_s and renewed.is_err():
+            await asyncio.sleep(retry_s)
+            renewed = await self._control.renew(renewal_with(self._ticket))
+        report = renewed.unwrap()
+        self._ticket = report.ticket
+        return report
+
+    async def measure(self) -> tuple[float, float, float]:
+        before = transport_bytes(self._connector)
+        started = time.process_time()
+        report = await self.renew()
+        taken = time.process_time() - started
+        after = transport_bytes(self._connector)
+        if len(report.tasks) != self.tasks or len(report.usage) != self.tasks:
+            raise RuntimeError(f'{len(report.usage)} measurements of {self.tasks}')
+        return after[0] - before[0], after[1] - before[1], taken * 1e6
+
+    async def close(self) -> None:
+        await self._session.close()
+
+
+async def measure_workers(base: str) -> list[tuple[int, tuple[float, ...]]]:
+    sizes = enumerate((0, 1, 5, 21, 50, 200))
+    workers = [RenewedWorker(f'{base}/w/w{index}', tasks) for index, tasks in sizes]
+    try:
+        for worker in workers:
+            await worker.start_tasks()
+        # Measurements come with a lag of 3 s, then with every renewal.
+        await asyncio.sleep(4.2)
+        tries: dict[int, list[tuple[float, ...]]] = {}
+        for _ in range(8):
+            for worker in workers:
+                tries.setdefault(worker.tasks, []).append(await worker.measure())
+            await asyncio.sleep(1.05)
+    finally:
+        for worker in workers:
+            await worker.close()
+    return [
+        (tasks, tuple(map(float, np.median(taken[1:], axis=0))))
+        for tasks, taken in tries.items()
+    ]
+
+
+def renewal_with(ticket: TicketMs) -> Renewal:
+    return Renewal(EntryId('laita-e0'), Epoch(1), 15_000, ticket)
+
+
+def order_of(number: int, ticket: TicketMs) -> StartOrder:
+    return StartOrder(
+        Epoch(1),
+        ticket,
+        TaskId(f'regie.{number:032x}/0'),
+        Attempt(1),
+        'recalculation',
+        '{"duration_ms": 600000}',
+        Resources(10, 1 << 20, 0),
+    )
+
+
+async def measure_replica() -> list[Curve]:
+    curves = []
+    for versions, name in ((1, '1 version'), (20, '20 versions')):
+        memory, applying = [], []
+        for entries in (100, 540, 2000):
+            items = await make_items(entries, versions)
+            gc.collect()
+            tracemalloc.start()
+            replica = CatalogueReplica()
+            replica.apply(items, Revision(entries))
+            # The replica keeps the stored bytes; a process holds no other copy.
+            held = sum(
+                sys.getsizeof(item.value) + sys.getsizeof(item.key) for item in items
+            )
+            memory.append((entries, tracemalloc.get_traced_memory()[0] + held))
+            tracemalloc.stop()
+            applying.append(
+                (entries, busy_ms(lambda: CatalogueReplica().apply(items, Revision(1))))
+            )
+        curves += [
+            Curve('entry process', f'replica, bytes ({name})', 'entries', memory),
+            Curve('entry process', f'apply all, ms ({name})', 'entries', applying),
+        ]
+    return curves
+
+
+async def make_items(entries: int, versions: int) -> list[ConfigItem]:
+    store = make_store()
+    editor = CatalogueEditor(store, CatalogueReplica(), SystemClock())
+    revision = 0
+    for version in range(versions):
+        entry = CatalogueEntry(
+            name='recalculation',
+            owner='billing',
+            tenant='regie',
+            service_class=ServiceClass.BATCH,
+            deadline_ms=1000 + version,
+        )
+        applied = await editor.apply(entry, revision, 'operator')
+        revision = applied.unwrap()
+    value = store.engine.fetch(entry_key('recalculation')).first().value
+    return [
+        ConfigItem(
+            entry_key(f'entry-{number}'), bytes(value[:-1] + b'}'), Revision(1 + number)
+        )
+        for number in range(entries)
+    ]
+
+
+def print_table(curves: Iterable[Curve]) -> None:
+    print(f'{"role":15} {"cost":32} {"size":19} {"slope":>10} {"base":>10} {"exp":>5}')
+    for curve in curves:
+        slope, base = curve.line
+        print(
+            f'{curve.role:15} {curve.cost:32} {curve.size:19} '
+            f'{slope:10.4g} {base:10.4g} {curve.exponent:5.2f}'
+        )
+        points = '  '.join(f'{size:g}: {cost:.4g}' for size, cost in curve.points)
+        print(f'{"":16}{points}')
+
+
+async def measure() -> SimpleNamespace:
+    store_curves, cases = await measure_store_calls()
+    curves = [
+        *await measure_journal(),
+        *await measure_replay(),
+        *await measure_ledger(),
+        *measure_reconciliation(),
+        *measure_rounds(),
+        *store_curves,
+        *await measure_renewals(),
+        *await measure_replica(),
+    ]
+    return SimpleNamespace(curves=curves, cases=cases)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--label', default='')
+    options = parser.parse_args()
+    machine = describe_machine()
+    started = time.monotonic()
+    measured = uvloop.run(measure())
+    print(json.dumps(machine))
+    print_table(measured.curves)
+    print('store calls a second:')
+    for case, rates in measured.cases.items():
+        ordered = {state: round(rate, 2) for state, rate in sorted(rates.items())}
+        print(f'  {case}: {total_calls(rates):.2f} without jobs; {ordered}')
+    print(f'{time.monotonic() - started:.0f} s')
+    report = {
+        'label': options.label,
+        'machine': machine,
+        'curves': [curve.report() for curve in measured.curves],
+        'store_calls_per_s': measured.cases,
+    }
+    write_report('control_scale', report)
+
+
+if __name__ == '__main__':
+    main()
