Find jobs that are moving without looking at all jobs

Cause: while its zone is in service, an owner looked through all jobs four times a second for moves that a former owner had begun. Change: the table keeps the jobs whose move has begun.

--- a/chiveworks/jobs/_task_table.py
+++ b/chiveworks/jobs/_task_table.py
@@ -29,6 +29,8 @@
         self.jobs: dict[JobId, JobRecord] = {}
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.overrides: dict[str, OverrideRecord] = {}
+        #: Jobs whose move has begun, in that order.
+        self.moving: dict[JobId, JobRecord] = {}
         #: The last owner that did not release the shard; it may still be
         #: renewing workers' leases.
         self.unreleased_owner: changes.OwnerStarted | None = None
@@ -87,6 +89,8 @@
         if job.job_id in self.jobs:
             raise InvalidChangeError(f'job {job.job_id} is already in the shard')
         self.jobs[job.job_id] = job
+        if job.moving:
+            self.moving[job.job_id] = job
         for task in job.tasks:
             self.tasks[task.task_id] = task
             if task.is_active:
@@ -108,16 +112,20 @@
 
     @apply.register
     def _job_moving(self, change: changes.JobMoving) -> None:
-        self.jobs[change.job_id].moving = True
+        job = self.jobs[change.job_id]
+        job.moving = True
+        self.moving[job.job_id] = job
 
     @apply.register
     def _job_stayed(self, change: changes.JobStayed) -> None:
         job = self.jobs[change.job_id]
         job.moving = False
         job.generation = change.generation
+        self.moving.pop(job.job_id, None)
 
     @apply.register
     def _job_dropped(self, change: changes.JobDropped) -> None:
+        self.moving.pop(change.job_id, None)
         for task in self.jobs.pop(change.job_id).tasks:
             if task.is_active:
                 raise InvalidChangeError(f'task {task.task_id} may be running')
--- a/chiveworks/scheduler/_zone_departure.py
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -61,7 +61,9 @@
     async def move_jobs(self) -> int:
         """Moves the jobs that have nothing running; returns how many moved."""
         moved = 0
-        for job in tuple(self._table.jobs.values()):
+        # While the zone is in service only moves that have begun are left to do.
+        jobs = self._table.jobs if self.is_leaving else self._table.moving
+        for job in tuple(jobs.values()):
             if job.job_id in self._table.jobs and self._is_movable(job):
                 moved += await self._move(job)
         return moved
