Bound the checks of workers on the boundary of a demand

Cause: on a nearly full fleet most workers of a boundary cell do not fit, and a decision that has found a fit went on checking them in proportion to the fleet. Change: at most 64 are checked once another worker is known to fit; all of them only when none is known. Conclusion: completeness is kept, since the full check remains for that case.

--- a/chiveworks/placement/_candidate_index.py
+++ b/chiveworks/placement/_candidate_index.py
@@ -14,12 +14,18 @@
 #: within a zone, at twice the cost.
 _SAMPLE_SIZE = 16
 
+#: Workers on the boundary checked once another one is known to fit. On a full
+#: fleet most of them do not fit, and checking all costs time in proportion.
+_SCAN_LIMIT = 64
+
 
 class CandidateIndex:
     """Groups workers into cells by the order of magnitude of free resources.
 
     The number of cells is bounded by the sizes of workers, so a decision costs
-    about the same for any number of workers.
+    about the same for any number of workers. The exception is a demand for which
+    no cell is certain to have room: it may check every member of the cells on
+    the boundary.
     """
 
     def __init__(
@@ -84,8 +90,10 @@
             elif fit == 0:
                 maybe.append(members)
         found = [self._candidates[name] for name in self._pick(surely)]
-        if len(found) < self._sample_size:
-            found.extend(self._scan(maybe, demand, self._sample_size - len(found)))
+        missing = self._sample_size - len(found)
+        if missing > 0:
+            limit = _SCAN_LIMIT if found else len(self)
+            found.extend(self._scan(maybe, demand, missing, limit))
         return tuple(found)
 
     def _pick(self, groups: list[list[WorkerId]]) -> list[WorkerId]:
@@ -106,12 +114,17 @@
         return picked
 
     def _scan(
-        self, groups: list[list[WorkerId]], demand: Demand, limit: int
+        self,
+        groups: list[list[WorkerId]],
+        demand: Demand,
+        missing: int,
+        limit: int,
     ) -> list[Candidate]:
-        """Checks the cells on the boundary from a random member onwards."""
-        ordered = (self._candidates[name] for name in self._rotated(groups))
+        """Looks for fits among `limit` members of the cells on the boundary."""
+        names = itertools.islice(self._rotated(groups), limit)
+        ordered = (self._candidates[name] for name in names)
         fitting = (candidate for candidate in ordered if candidate.accepts(demand))
-        return list(itertools.islice(fitting, limit))
+        return list(itertools.islice(fitting, missing))
 
     def _rotated(self, groups: list[list[WorkerId]]) -> Iterator[WorkerId]:
         for members in groups:
