Add the make targets of benches and promises

Cause: benches and promise checks had no common entry point. Change: make promises, bench, bench-scale, bench-idle.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,22 @@
 demo: $(READY) ## the whole path with real processes, under a minute
 	$(BIN)/python -m examples.demo
 
+promises: $(READY) ## prove the promises under faults; SEEDS=n widens, MUTANTS=1 checks the checks
+	$(BIN)/python -m tests.promises $(if $(SEEDS),--seeds $(SEEDS)) $(if $(MUTANTS),--mutants)
+
+bench: $(READY) ## decisions against the naive ones, and the request path
+	$(BIN)/python -m benchmarks.bench_decisions
+	$(BIN)/python -m benchmarks.bench_request_path
+
+bench-scale: $(READY) ## slopes of decisions, control and peers against size
+	$(BIN)/python -m benchmarks.bench_scale
+	$(BIN)/python -m benchmarks.bench_control_scale
+	$(BIN)/python -m benchmarks.bench_membership
+
+bench-idle: $(READY) ## processor, memory and bytes of idle entry processes
+	$(BIN)/python -m benchmarks.bench_idle
+
 proto: $(READY) ## regenerate the gRPC code from peer.proto
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. chiveworks/membership/peer.proto
 
-.PHONY: help setup format lint test demo proto
+.PHONY: help setup format lint test demo promises bench bench-scale bench-idle binary proto
