Check a job again after its record was read for a move

Cause: a move read the job's record first and journalled the move afterwards; a task claimed in between could have run in both zones, and a cancellation answered during a move was not known to the new home. Found by reading. Change: the job is checked again before the move is journalled; a job that is moving refuses a cancellation as not run and callers' entry process tries again. Jobs move 32 at a time instead of one per group commit. Reports fetched before a start are no longer dropped with their measurements, and a lost task's start no longer keeps its worker from further ones.

--- a/chiveworks/entry/_create_app.py
+++ b/chiveworks/entry/_create_app.py
@@ -51,6 +51,7 @@
             mesh.shards,
             platform.replica,
             np.random.default_rng(),
+            clock,
         ),
     )
     add_status_routes(app, zones, mesh.shards, platform.replica, monitor)
--- a/chiveworks/entry/_job_gateway.py
+++ b/chiveworks/entry/_job_gateway.py
@@ -1,9 +1,11 @@
 """Jobs of all zones, as callers reach them through any entry process."""
 
+from datetime import timedelta
+
 from numpy.random import Generator
 from result import Err, Ok, Result
 
-from chiveworks.base import Failure, JobId, Step, TenantName, Verdict, ZoneName
+from chiveworks.base import Clock, Failure, JobId, Step, TenantName, Verdict, ZoneName
 from chiveworks.catalogue import CatalogueReplica
 from chiveworks.jobs import JobRecord, JobStore, content_digest_of, job_id_of
 from chiveworks.membership import (
@@ -17,7 +19,8 @@
 )
 
 #: A job may move to another zone while it is looked up.
-_LOOKUPS = 3
+_LOOKUPS = 5
+_MOVE_PAUSE = timedelta(milliseconds=500)
 
 
 class JobGateway:
@@ -31,6 +34,7 @@
         shards: ShardClient,
         replica: CatalogueReplica,
         random: Generator,
+        clock: Clock,
     ) -> None:
         self._zone = zone
         self._zones = zones
@@ -38,6 +42,7 @@
         self._shards = shards
         self._replica = replica
         self._random = random
+        self._clock = clock
 
     async def submit(
         self, submission: JobSubmission
@@ -59,6 +64,7 @@
             failure = registered.err_value
             if reason_of(failure) is not FailureReason.CONFLICT:
                 return registered
+            await self._clock.sleep(_MOVE_PAUSE)
         return Err(failure)
 
     async def describe(self, job_id: JobId) -> Result[JobView | None, Failure]:
@@ -93,8 +99,9 @@
             if isinstance(cancelled, Ok):
                 return Ok(cancelled.ok_value)
             failure = cancelled.err_value
-            if reason_of(failure) is not FailureReason.UNKNOWN_JOB:
+            if reason_of(failure) not in _MOVING:
                 break
+            await self._clock.sleep(_MOVE_PAUSE)
         return Err(failure)
 
     async def list_tenant(
@@ -159,6 +166,7 @@
         return Ok(known.view())
 
 
+_MOVING = frozenset((FailureReason.UNKNOWN_JOB, FailureReason.CONFLICT))
 _ZONE_UNAVAILABLE = frozenset((FailureReason.NOT_OWNER, FailureReason.UNSPECIFIED))
 
 
--- a/chiveworks/scheduler/_job_registrar.py
+++ b/chiveworks/scheduler/_job_registrar.py
@@ -82,6 +82,9 @@
         job = self._table.jobs.get(job_id)
         if job is None:
             return Err(self._unknown_job(job_id))
+        if job.moving:
+            # The other home may already have it, without the cancellation.
+            return Err(self._elsewhere(job))
         if not job.cancelled and not job.is_final:
             durable = self._ledger.commit(JobCancelled(job_id))
             self._on_cancel(job)
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -22,6 +22,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+ReportHandler = Callable[[WorkerSession, WorkerReport], None]
+SessionFactory = Callable[[Instance, ReportHandler], WorkerSession]
+
 
 class SessionKeeper:
     """Opens a session for each worker and turns reports into changes."""
@@ -31,7 +34,7 @@
         context: ShardContext,
         reconciler: Reconciler,
         background: Background,
-        open_session: Callable[[Instance], WorkerSession],
+        open_session: SessionFactory,
         list_workers: Callable[[], tuple[Instance, ...]],
         has_waiting_work: Callable[[], bool],
     ) -> None:
@@ -70,7 +73,7 @@
             if worker in self.sessions:
                 self.sessions[worker].instance = instance
             else:
-                self._add(self._open_session(instance))
+                self._add(self._open_session(instance, self._on_report))
         for worker in self.sessions.keys() - listed.keys() - in_use:
             self.sessions.pop(worker)
             self._running.pop(worker).cancel()
@@ -90,9 +93,7 @@
             _check_epoch(stopped.err_value)
             return
         # The report that confirms the end is fetched at once.
-        renewed = await session.renew()
-        if isinstance(renewed, Ok):
-            self._on_report(session, renewed.ok_value)
+        await session.renew()
 
     async def throttle_task(self, task: TaskRecord, share: float) -> bool:
         """Limits a task's processors; returns whether the worker did so."""
@@ -105,7 +106,7 @@
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
         self._running[session.worker] = self._background.start(
-            session.run(self._on_report, self._on_failure, self._period_of)
+            session.run(self._on_failure, self._period_of)
         )
 
     def _period_of(self, session: WorkerSession) -> timedelta:
@@ -125,8 +126,7 @@
             report, session.starts, self._context.clock.now()
         )
         for task_id in outcome.gone:
-            session.starts.pop(task_id, None)
-            session.stops.pop(task_id, None)
+            session.forget_task(task_id)
         for task_id, attempt in outcome.stale:
             self._background.start(_stop_stale(session, task_id, attempt))
         if outcome.changes or outcome.acknowledge:
@@ -160,6 +160,9 @@
         for task in self._context.table.active_on(worker):
             job = self._context.table.job_of(task.task_id)
             self._context.ledger.commit(attempt_end.lost(job, task, reason))
+            if worker in self.sessions:
+                # An unsettled start would keep the worker from further ones.
+                self.sessions[worker].forget_task(task.task_id)
             _LOG.warning(reason, extra={'job': job.job_id, 'peer': worker})
 
     async def _acknowledge(
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -17,7 +17,7 @@
 from chiveworks.scheduler._quotas import Quotas
 from chiveworks.scheduler._reconcile import Reconciler
 from chiveworks.scheduler._service_protection import ServiceProtection
-from chiveworks.scheduler._session_keeper import SessionKeeper
+from chiveworks.scheduler._session_keeper import ReportHandler, SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_environment import ShardEnvironment
 from chiveworks.scheduler._shard_scheduler import ShardScheduler
@@ -72,7 +72,7 @@
     )
     timings = environment.timings
 
-    def open_session(instance: Instance) -> WorkerSession:
+    def open_session(instance: Instance, on_report: ReportHandler) -> WorkerSession:
         return WorkerSession(
             instance,
             environment.connect_worker(instance),
@@ -80,6 +80,7 @@
             environment.clock,
             timings,
             tenure.started + _longest_former_lease(tenure, timings),
+            on_report,
         )
 
     keeper = SessionKeeper(
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -40,6 +40,7 @@
         clock: Clock,
         timings: SchedulerTimings,
         first_bound: timedelta,
+        on_report: Callable[['WorkerSession', WorkerReport], None],
     ) -> None:
         self.instance = instance
         self.worker = WorkerId(instance.instance_id)
@@ -52,6 +53,7 @@
         self._tenure = tenure
         self._clock = clock
         self._timings = timings
+        self._on_report = on_report
         # Monotonic time after which no lease on this worker can be alive.
         self._lease_end = first_bound
         self._ticket_received = timedelta(0)
@@ -83,14 +85,12 @@
 
     async def run(
         self,
-        on_report: Callable[['WorkerSession', WorkerReport], None],
         on_failure: Callable[['WorkerSession', Failure | Refusal], None],
         period_of: Callable[['WorkerSession'], timedelta],
     ) -> None:
         """Renews the lease periodically; never ends by itself.
 
         Args:
-            on_report: Receives each report.
             on_failure: Receives the error of each renewal that failed.
             period_of: Returns the time until the next renewal.
         """
@@ -99,15 +99,16 @@
             # may have been paused, and the worker may have news.
             self.attempted_after_lapse = self._clock.monotonic() > self._lease_end
             renewed = await self.renew()
-            if isinstance(renewed, Ok):
-                on_report(self, renewed.ok_value)
-            else:
+            if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
             await self._clock.sleep(period_of(self))
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
-        """Renews the control lease and takes over the worker's report."""
+        """Renews the control lease and hands the worker's report on.
+
+        Every report is handed on: it carries measurements that no later one has.
+        """
         async with self._lock:
             return await self._renew_locked()
 
@@ -163,6 +164,11 @@
                 self._tenure.epoch, task_id, attempt, cpu_millicores
             )
 
+    def forget_task(self, task_id: TaskId) -> None:
+        """Drops what is known of a task's start and stop on this worker."""
+        self.starts.pop(task_id, None)
+        self.stops.pop(task_id, None)
+
     def is_stop_due(self, task_id: TaskId) -> bool:
         """Whether a stop was never sent or its confirmation is overdue."""
         sent = self.stops.get(task_id)
@@ -196,6 +202,7 @@
         self.report = report
         self._ticket_received = now
         self._leased_until = now + report.lease_left_ms * _MS
+        self._on_report(self, report)
 
 
 def _is_already_started(error: Failure | Refusal) -> bool:
--- a/chiveworks/scheduler/_zone_departure.py
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -1,5 +1,6 @@
 """Evicts tasks and moves jobs while the zone is out of service."""
 
+import asyncio
 import logging
 
 from result import Err
@@ -11,6 +12,7 @@
     JobMoving,
     JobRecord,
     JobStayed,
+    StoredJob,
     TaskRecord,
 )
 from chiveworks.membership import JobTransfer, ShardClient, TaskState
@@ -19,6 +21,8 @@
 
 _LOG = logging.getLogger(__name__)
 _NONCE_BYTES = 12
+#: Bounds the calls to the store that a departing zone makes at once.
+_MOVES_AT_ONCE = 32
 
 
 class ZoneDeparture:
@@ -61,13 +65,12 @@
 
     async def move_jobs(self) -> int:
         """Moves the jobs that have nothing running; returns how many moved."""
-        moved = 0
         # While the zone is in service only moves that have begun are left to do.
         jobs = self._table.jobs if self.is_leaving else self._table.moving
-        for job in tuple(jobs.values()):
-            if job.job_id in self._table.jobs and self._is_movable(job):
-                moved += await self._move(job)
-        return moved
+        movable = [job for job in jobs.values() if self._is_movable(job)]
+        # Together, because each move waits for a group commit in either zone.
+        moves = (self._move(job) for job in movable[:_MOVES_AT_ONCE])
+        return sum(await asyncio.gather(*moves))
 
     def _is_movable(self, job: JobRecord) -> bool:
         if job.moving:
@@ -79,12 +82,21 @@
         if isinstance(fetched, Err) or fetched.ok_value is None:
             return 0
         stored = fetched.ok_value
+        if self._table.jobs.get(job.job_id) is not job:
+            return 0
         if stored.job.home != self._tenure.zone:
             return await self._hand_over(job, stored.job.home, stored.job.generation)
         if stored.job.generation > job.generation:
             # Moved away and back, or a move was given up: the record is newer.
             await self._ledger.commit(JobDropped(job.job_id), JobAccepted(stored.job))
             return 0
+        if not self._is_movable(job):
+            # A task was started, or the job was cancelled, while it was read.
+            return 0
+        return await self._change_home(job, stored)
+
+    async def _change_home(self, job: JobRecord, stored: StoredJob) -> int:
+        """Gives the job another home, or keeps it when the zone is back."""
         if not job.moving:
             await self._ledger.commit(JobMoving(job.job_id))
         target = self._choose_target(job.job_id)
--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -1,8 +1,10 @@
 """Failure tests of a shard: each drives real candidates on a stepped clock."""
 
+import asyncio
+
 from result import Ok
 
-from chiveworks.base import ZoneName
+from chiveworks.base import Verdict, ZoneName
 from chiveworks.catalogue import ZoneState
 from chiveworks.jobs import job_id_of
 from chiveworks.membership import JobState, TaskState
@@ -112,3 +114,42 @@
     await bench.drive(parts.scheduler._keeper.stop_task(task, checkpoint=True))
     assert task.state is TaskState.FINISHED
     await bench.stop()
+
+
+async def test_a_job_that_starts_while_its_move_is_prepared_stays():
+    """Guards against a move of a job whose task has just been started.
+
+    The record is read before the move is journalled; a task claimed in between
+    would run in both zones.
+    """
+    bench = await _started(zones=(LAITA, ISOLE))
+    submission = bench.submission('bill-1', ms=8000)
+    await bench.submit(submission, LAITA)
+    owner = bench.owners_of(LAITA)[0]
+    departure = owner.candidate._parts.scheduler._departure
+    job = bench.table_job(job_id_of(submission))
+    owner.store.faults.delay_ms = 500
+    await bench.set_zone(LAITA, ZoneState.OUT)
+    bench.spread_config()
+    move = asyncio.ensure_future(departure._move(job))
+    await bench.advance(0.1)
+    owner.store.faults.delay_ms = 0
+    job.tasks[0].state = TaskState.CLAIMED
+    await bench.advance(1)
+    assert await move == 0
+    assert not job.moving
+    await bench.stop()
+
+
+async def test_a_cancellation_waits_for_a_move_to_end():
+    """Guards against a cancelled job that starts in its new home."""
+    bench = await _started()
+    submission = bench.submission('bill-1')
+    await bench.submit(submission)
+    job = bench.table_job(job_id_of(submission))
+    job.moving = True
+    handler = bench.owners_of(LAITA)[0].local.handler_of(LAITA)
+    answer = await bench.drive(handler.cancel(job.job_id))
+    assert answer.err_value.verdict is Verdict.NOT_RUN
+    assert not job.cancelled
+    await bench.stop()
