Slow the store down in the shard machine

Cause: the machine's store answered at once, so no change of state fell between a read and the write that followed it. Change: answers are delayed by up to 1.5 s per process. Conclusion: gaps between reads and writes are now drawn too.

--- a/chiveworks/scheduler/tests/test_shard_machine.py
+++ b/chiveworks/scheduler/tests/test_shard_machine.py
@@ -101,6 +101,11 @@
         process = self.bench.processes[index % len(self.bench.processes)]
         process.store.faults.outage = outage
 
+    @rule(index=INDEX, delay_ms=st.sampled_from((0, 60, 400, 1500)))
+    def slow_store(self, index, delay_ms):
+        process = self.bench.processes[index % len(self.bench.processes)]
+        process.store.faults.delay_ms = delay_ms
+
     @rule(index=INDEX, count=st.integers(1, 3))
     def lose_store_answers(self, index, count):
         process = self.bench.processes[index % len(self.bench.processes)]
@@ -178,6 +183,7 @@
             process.gate.thaw()
             process.store.faults.outage = False
             process.store.faults.drop_answer_next = 0
+            process.store.faults.delay_ms = 0
             for control in process.controls.values():
                 control.unreachable = False
                 control.drop_answers = 0
