Throttle tasks that are short of time last

Cause: under quimperle's load shift protection throttled short readings until they missed their deadlines. Change: Neighbour.is_pressed; such tasks are throttled only when no other is left.

--- a/benchmarks/_zone_driver.py
+++ b/benchmarks/_zone_driver.py
@@ -270,6 +270,7 @@
                     seconds=0 if job.spec.can_checkpoint else job.done_s
                 ),
                 share=job.share,
+                is_pressed=self._is_pressed(job),
             )
             for job in worker.running.values()
         )
@@ -284,6 +285,13 @@
         else:
             job.share = action.share
 
+    def _is_pressed(self, job: Job) -> bool:
+        if job.spec.deadline_s is None:
+            return False
+        slack = job.arrival_s + job.spec.deadline_s - self.now_s
+        expected = self.demands[job.number].run_time.total_seconds() - job.done_s
+        return slack < max(expected, 0) * 4
+
     def _empty(self, name: WorkerId, rack: int) -> Candidate:
         service = Demand(
             TaskId(f'service-{name}'),
--- a/chiveworks/placement/tests/test_protection.py
+++ b/chiveworks/placement/tests/test_protection.py
@@ -122,3 +122,21 @@
     zone.run(600, 3)
     assert zone.actions
     assert not zone.evictions()
+
+
+def test_tasks_short_of_time_are_throttled_last():
+    """A task made late although a less pressed one could have been throttled."""
+    clock = ManualClock()
+    policy = ProtectionPolicy(clock, ProtectionSettings())
+    pressed = Neighbour(TaskId('pressed'), 0.9, SECOND, is_pressed=True)
+    calm = Neighbour(TaskId('calm'), 0.1, SECOND)
+    throttled = []
+    for _ in range(2):
+        actions = []
+        for _ in range(6):
+            clock.shift(SECOND)
+            both = WorkerPressure(WorkerId('w'), 2, (pressed, calm))
+            actions.append(policy.decide(both))
+        throttled.append([action.task_id for action in actions if action])
+        calm = Neighbour(TaskId('calm'), 0.1, SECOND, share=0.25)
+    assert throttled == [['calm'], ['pressed']]
