--- a/benchmarks/bench_scale.py
+++ b/benchmarks/bench_scale.py
@@ -52,6 +52,8 @@
 QUEUED = (1000, 6400, 27000, 90000, 273000)
 #: Tasks for each worker at the design size, 273,000 on 13,000.
 _TASKS_PER_WORKER = 21
+#: Tasks that do not fit any more are left out.
+_TASKS_WHEN_FULL = 26
 _DECISIONS = 1500
 _REPEATS = 3
 _Subject = TypeVar('_Subject')
@@ -238,6 +240,14 @@
     full = replace(by_workers[-1], size=WORKERS[-1] * _TASKS_PER_WORKER)
     return {
         'workers': by_workers,
+        'workers_nearly_full': [
+            measure(
+                size,
+                lambda: Fleet(size, size * _TASKS_WHEN_FULL),
+                lambda fleet: decide(fleet, policy),
+            )
+            for size in WORKERS[:4]
+        ],
         'workers_first_fit': [
             measure(
                 size,
