Reserve what tasks of a kind were seen to use

Cause: declared sizes are often too small; reservations followed them alone. Change: the claim carries the reserved amount, which is the declared or the observed one if larger; an observed size that fits no worker is not used. Conclusion: reservations correct declared sizes without exceeding a worker.

--- a/benchmarks/bench_control_scale.py
+++ b/benchmarks/bench_control_scale.py
@@ -72,7 +72,7 @@
 )
 from chiveworks.journal import Journal
 from chiveworks.membership import ShardClient, TaskState
-from chiveworks.placement import Quarantine
+from chiveworks.placement import Quarantine, SizeEstimator
 from chiveworks.scheduler import Ledger, Reconciler, SchedulerTimings, Tenure
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._fleet import Fleet
@@ -209,7 +209,9 @@
 
 def make_claims(table: TaskTable) -> list[TaskClaimed]:
     return [
-        TaskClaimed(task_id, Attempt(1), worker_of(number), BootId('f' * 32))
+        TaskClaimed(
+            task_id, Attempt(1), worker_of(number), BootId('f' * 32), Resources(1000)
+        )
         for number, task_id in enumerate(table.tasks)
     ]
 
@@ -368,7 +370,15 @@
         context = make_context(table)
         instances = (make_instance(),)
         quarantine = Quarantine(context.clock, 1)
-        fleet = Fleet(table, context.replica, quarantine, context.random, zero_load)
+        fleet = Fleet(
+            table,
+            context.replica,
+            quarantine,
+            context.random,
+            zero_load,
+            SizeEstimator(),
+            lambda: instances,
+        )
         # Nothing ends here, so nothing is started in the background.
         closer = JobCloser(context, fleet, cast(Background, None), lambda: instances)
         closer.load()
--- a/chiveworks/entry/_create_candidate.py
+++ b/chiveworks/entry/_create_candidate.py
@@ -1,21 +1,27 @@
 """Assembly of the shard's scheduling in an entry process."""
 
+from collections.abc import Mapping
+
 import numpy as np
 
-from chiveworks.base import Clock
+from chiveworks.base import Clock, TaskId
 from chiveworks.entry import _translate_settings as translate
 from chiveworks.entry._instance_watcher import InstanceWatcher
 from chiveworks.entry._mesh import Mesh
 from chiveworks.entry._platform import Platform
+from chiveworks.instances import Instance
 from chiveworks.placement import (
     InterferenceLearner,
     PlacementPolicy,
+    SizeEstimator,
+    SizeLearner,
     SlowdownEstimator,
     placement_policies,
 )
 from chiveworks.scheduler import ShardCandidate, ShardEnvironment
 from chiveworks.settings import Settings
 from chiveworks.telemetry import Metrics
+from chiveworks.workers import WorkerReport
 
 _NAIVE_POLICY = 'first_fit'
 _QUEUE_ORDER = 'deadline_fair'
@@ -32,6 +38,15 @@
     """Returns the candidate for the shard of the process's zone."""
     estimator = SlowdownEstimator(clock)
     learner = InterferenceLearner(estimator, clock)
+    sizes = SizeEstimator()
+    size_learner = SizeLearner(sizes)
+
+    def observe(
+        instance: Instance, report: WorkerReport, kinds: Mapping[TaskId, str]
+    ) -> None:
+        learner.observe(instance, report, kinds)
+        size_learner.observe(instance, report, kinds)
+
     return ShardCandidate(
         ShardEnvironment(
             zone=settings.zone,
@@ -49,8 +64,9 @@
             connect_worker=platform.connect_worker,
             list_workers=lambda: watcher.workers_in(settings.zone),
             load_of=learner.load_of,
-            on_report=learner.observe,
+            on_report=observe,
             estimator=estimator,
+            sizes=sizes,
             tolerated_slowdown=settings.placement.tolerated_slowdown,
             metrics=metrics,
             clock=clock,
--- a/chiveworks/jobs/_changes.py
+++ b/chiveworks/jobs/_changes.py
@@ -84,12 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskClaimed:
-    """An attempt may be started on a worker from now on."""
+    """An attempt may be started on a worker, which holds `reserved` for it."""
 
     task_id: TaskId
     attempt: Attempt
     worker: WorkerId
     boot_id: BootId
+    reserved: Resources
     type: Literal['task_claimed'] = 'task_claimed'
 
 
--- a/chiveworks/jobs/_task_table.py
+++ b/chiveworks/jobs/_task_table.py
@@ -143,7 +143,7 @@
         task.attempt = change.attempt
         task.worker = change.worker
         task.boot_id = change.boot_id
-        task.reserved = self.job_of(task.task_id).spec.resources
+        task.reserved = change.reserved
         self._hold(task)
 
     @apply.register
--- a/chiveworks/placement/__init__.py
+++ b/chiveworks/placement/__init__.py
@@ -16,6 +16,7 @@
 from chiveworks.placement._quarantine import Quarantine
 from chiveworks.placement._queue import QueueOrder, TaskQueue, queue_orders
 from chiveworks.placement._size_estimator import SizeEstimator
+from chiveworks.placement._size_learner import SizeLearner
 from chiveworks.placement._size_sample import SizeSample
 from chiveworks.placement._slowdown_estimator import SlowdownEstimator
 from chiveworks.placement._slowdown_sample import SlowdownSample
@@ -41,6 +42,7 @@
     'Quarantine',
     'QueueOrder',
     'SizeEstimator',
+    'SizeLearner',
     'SizeSample',
     'SlowdownEstimator',
     'SlowdownSample',
--- a/chiveworks/scheduler/_fleet.py
+++ b/chiveworks/scheduler/_fleet.py
@@ -1,16 +1,21 @@
 """The workers of one shard as placement sees them."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 from numpy.random import Generator
 
 from chiveworks.base import Resources, WorkerId
 from chiveworks.catalogue import CatalogueReplica
 from chiveworks.instances import Instance, InstanceState
-from chiveworks.jobs import TaskTable
+from chiveworks.jobs import TaskSpec, TaskTable
 from chiveworks.membership import OverrideKind
-from chiveworks.placement import Candidate, CandidateIndex, Quarantine
+from chiveworks.placement import (
+    Candidate,
+    CandidateIndex,
+    Quarantine,
+    SizeEstimator,
+)
 from chiveworks.scheduler._worker_session import WorkerSession
 
 _NOTHING = Resources()
@@ -26,12 +31,16 @@
         quarantine: Quarantine,
         random: Generator,
         load_of: Callable[[WorkerId], float],
+        sizes: SizeEstimator,
+        list_workers: Callable[[], tuple[Instance, ...]],
     ) -> None:
         self._table = table
         self._replica = replica
         self._quarantine = quarantine
         self._random = random
         self._load_of = load_of
+        self._sizes = sizes
+        self._list_workers = list_workers
 
     def candidates(self, sessions: Mapping[WorkerId, WorkerSession]) -> CandidateIndex:
         """Returns the workers that may receive starts now."""
@@ -48,13 +57,21 @@
         held = self._table.reserved_on(worker) + self._unclaimed_on(worker)
         return instance.capacity - self._held_by_services(instance) - held
 
-    def fits_empty(self, demand: Resources, instances: Iterable[Instance]) -> bool:
+    def fits_empty(self, demand: Resources) -> bool:
         """Tells whether some worker could hold `demand` if no task ran there."""
         return any(
             demand.fits_in(instance.capacity - self._held_by_services(instance))
-            for instance in instances
+            for instance in self._list_workers()
         )
 
+    def size_of(self, spec: TaskSpec) -> Resources:
+        """Returns what to reserve: the declared or the observed size if larger.
+
+        An observed size that fits no worker would keep the task waiting for ever.
+        """
+        observed = self._sizes.predict(spec.kind, spec.resources)
+        return observed if self.fits_empty(observed) else spec.resources
+
     def _candidate(self, instance: Instance) -> Candidate:
         worker = WorkerId(instance.instance_id)
         kinds = Counter(
--- a/chiveworks/scheduler/_job_closer.py
+++ b/chiveworks/scheduler/_job_closer.py
@@ -90,7 +90,7 @@
             job = self._context.table.jobs[job_id]
             needed = job.spec.resources
             if needed not in fitting:
-                fitting[needed] = self._fleet.fits_empty(needed, instances)
+                fitting[needed] = self._fleet.fits_empty(needed)
             if not fitting[needed] and self._is_overdue(job):
                 reason = f'no worker in zone {job.home} can hold {needed}'
                 self._context.ledger.commit(JobUnschedulable(job_id, reason))
--- a/chiveworks/scheduler/_shard_environment.py
+++ b/chiveworks/scheduler/_shard_environment.py
@@ -9,7 +9,7 @@
 from chiveworks.catalogue import CatalogueEditor, CatalogueReplica
 from chiveworks.instances import Instance
 from chiveworks.membership import LocalShard, OwnerTable, ShardClient
-from chiveworks.placement import PlacementPolicy, SlowdownEstimator
+from chiveworks.placement import PlacementPolicy, SizeEstimator, SlowdownEstimator
 from chiveworks.scheduler._report_observer import ReportObserver
 from chiveworks.scheduler._shard_metrics import ShardMetrics
 from chiveworks.scheduler._timings import SchedulerTimings
@@ -38,6 +38,7 @@
         list_workers: Workers of the zone, as listed.
         load_of: Measured processor load of a worker, 0 to 1.
         on_report: Receives each report, for learning.
+        sizes: Predicted sizes of tasks by kind.
         estimator: Predicted slowdowns of pairs of kinds.
         tolerated_slowdown: Slowdown of services above which they are protected.
         metrics: Receives measurements.
@@ -63,6 +64,7 @@
     load_of: Callable[[WorkerId], float]
     on_report: ReportObserver
     estimator: SlowdownEstimator
+    sizes: SizeEstimator
     tolerated_slowdown: float
     metrics: ShardMetrics
     clock: Clock
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -61,15 +61,17 @@
     quarantine = Quarantine(environment.clock, len(environment.list_workers()))
     order = queue_orders.create(environment.queue_order)
     task_queue = TaskQueue(order)
-    queue = WorkQueue(task_queue, table, environment.clock)
-    queue.load()
     fleet = Fleet(
         table,
         environment.replica,
         quarantine,
         environment.random,
         environment.load_of,
+        environment.sizes,
+        environment.list_workers,
     )
+    queue = WorkQueue(task_queue, table, environment.clock, fleet.size_of)
+    queue.load()
     timings = environment.timings
 
     def open_session(instance: Instance, on_report: ReportHandler) -> WorkerSession:
--- a/chiveworks/scheduler/_start_round.py
+++ b/chiveworks/scheduler/_start_round.py
@@ -38,9 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pick:
-    """A task, its worker's session and the ticket to quote."""
+    """A task, its demand, its worker's session and the ticket to quote."""
 
     task: TaskRecord
+    demand: Demand
     session: WorkerSession
     ticket: TicketMs
 
@@ -131,7 +132,7 @@
             elif ticket is None or not self._still_fits(demand, session, picks):
                 self._queue.give_back(demand)
             else:
-                picks.append(_Pick(task, session, ticket))
+                picks.append(_Pick(task, demand, session, ticket))
         return picks
 
     def _may_claim(self, task: TaskRecord) -> bool:
@@ -150,7 +151,7 @@
         free = self._fleet.free_on(session.instance)
         for pick in picks:
             if pick.session is session:
-                free -= self._table.job_of(pick.task.task_id).spec.resources
+                free -= pick.demand.resources
         return demand.resources.fits_in(free)
 
     async def _claim(self, picks: list[_Pick]) -> None:
@@ -163,7 +164,13 @@
                 attempt, StartPhase.CLAIMING
             )
             claims.append(
-                TaskClaimed(pick.task.task_id, attempt, pick.session.worker, boot_id)
+                TaskClaimed(
+                    pick.task.task_id,
+                    attempt,
+                    pick.session.worker,
+                    boot_id,
+                    pick.demand.resources,
+                )
             )
         await self._ledger.commit(*claims)
 
--- a/chiveworks/scheduler/_work_queue.py
+++ b/chiveworks/scheduler/_work_queue.py
@@ -1,9 +1,10 @@
 """Feeds the queue of waiting tasks from the changes of the table."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from chiveworks.base import Clock, ServiceClass, TaskId
+from chiveworks.base import Clock, Resources, ServiceClass, TaskId
 from chiveworks.jobs import (
     JobAccepted,
     JobCancelled,
@@ -15,6 +16,7 @@
     TaskMoved,
     TaskRecord,
     TaskReleased,
+    TaskSpec,
     TaskTable,
 )
 from chiveworks.membership import TaskState
@@ -24,8 +26,15 @@
 class WorkQueue:
     """Keeps the queue equal to the table's tasks in the state `queued`."""
 
-    def __init__(self, queue: TaskQueue, table: TaskTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        queue: TaskQueue,
+        table: TaskTable,
+        clock: Clock,
+        size_of: Callable[[TaskSpec], Resources],
+    ) -> None:
         self._queue = queue
+        self._size_of = size_of
         self._table = table
         self._clock = clock
         self._demands: dict[TaskId, Demand] = {}
@@ -126,7 +135,7 @@
             task_id=task.task_id,
             kind=spec.kind,
             tenant=job.tenant,
-            resources=spec.resources,
+            resources=self._size_of(spec),
             arrival=arrival,
             service_class=ServiceClass.BATCH,
             urgent=spec.urgent,
--- a/chiveworks/scheduler/tests/shard_bench.py
+++ b/chiveworks/scheduler/tests/shard_bench.py
@@ -37,7 +37,7 @@
     PeerPool,
     ShardClient,
 )
-from chiveworks.placement import FirstFit, SlowdownEstimator
+from chiveworks.placement import FirstFit, SizeEstimator, SlowdownEstimator
 from chiveworks.scheduler import SchedulerTimings, ShardCandidate, ShardEnvironment
 from chiveworks.telemetry import Metrics
 from standins.store import MemoryStore, StoreEngine
@@ -196,6 +196,7 @@
             load_of=lambda _worker: 0.0,
             on_report=lambda _instance, _report, _kinds: None,
             estimator=SlowdownEstimator(clock),
+            sizes=SizeEstimator(),
             tolerated_slowdown=1.5,
             metrics=Metrics(clock, zone, EntryId(f'{zone}-e{number}')),
             clock=clock,
