--- /dev/null
+++ b/chiveworks/scheduler/tests/test_rounds.py
@@ -0,0 +1,53 @@
+"""Rounds look at changed jobs only; these are the changes that could be missed."""
+
+from chiveworks.base import ZoneName
+from chiveworks.catalogue import ZoneState
+from chiveworks.membership import JobState
+from chiveworks.scheduler.tests.shard_bench import ShardBench
+
+LAITA = ZoneName('laita')
+ISOLE = ZoneName('isole')
+
+
+async def test_a_successor_refuses_a_job_that_fits_no_worker():
+    """Guards against jobs that wait for ever after a takeover."""
+    bench = ShardBench()
+    await bench.start()
+    await bench.put_entry(cpu_millicores=64_000)
+    await bench.advance(1)
+    submission = bench.submission('too-large')
+    await bench.submit(submission)
+    bench.kill(bench.owners_of(LAITA)[0])
+    await bench.advance(25)
+    assert (await bench.job(submission)).state is JobState.UNSCHEDULABLE
+    await bench.stop()
+
+
+async def test_a_move_that_has_begun_is_completed_by_a_successor():
+    """Guards against moving jobs that no owner remembers."""
+    bench = ShardBench(zones=(LAITA, ISOLE))
+    await bench.start()
+    await bench.put_entry(can_checkpoint=True, idempotent=False)
+    await bench.advance(1)
+    submission = bench.submission('bill', count=12, ms=8000)
+    await bench.submit(submission, LAITA)
+    await bench.advance(3)
+    await bench.set_zone(LAITA, ZoneState.OUT)
+    # The transfer is not answered, so the move stays unfinished.
+    target = bench.owners_of(ISOLE)[0]
+    target.gate.freeze()
+    await bench.advance(1)
+    assert _moving(bench)
+    bench.kill(bench.owners_of(LAITA)[0])
+    target.gate.thaw()
+    await bench.advance(60)
+    job = await bench.job(submission)
+    assert job.state is JobState.FINISHED
+    assert job.home == ISOLE
+    assert set(bench.finishes().values()) == {1}
+    await bench.stop()
+
+
+def _moving(bench: ShardBench) -> bool:
+    parts = bench.owners_of(LAITA)[0].candidate._parts
+    return bool(parts.service._context.table.moving)
