--- a/Makefile
+++ b/Makefile
@@ -32,4 +32,12 @@
 proto: $(READY) ## regenerate the gRPC code from peer.proto
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. chiveworks/membership/peer.proto
 
-.PHONY: help setup format lint test demo proto
+binary: $(READY) ## build dist/chiveworks, one executable file
+	mkdir -p dist
+	$(BIN)/pex . --constraints constraints.txt --use-pip-config \
+		--console-script chiveworks --venv --sh-boot -o dist/chiveworks
+
+bench-idle: $(READY) ## cost of idle entry processes against the budget
+	$(BIN)/python -m benchmarks.bench_idle
+
+.PHONY: help setup format lint test demo proto binary bench-idle
--- a/benchmarks/tcp_bytes.py
+++ b/benchmarks/tcp_bytes.py
@@ -59,7 +59,7 @@
 
 
 def connections_of(pid: int) -> dict[int, Connection]:
-    """Returns the IPv4 TCP connections of a process by inode."""
+    """Returns the TCP connections of a process by inode."""
     inodes = _socket_inodes(pid)
     return {found.inode: found for found in _all_connections() if found.inode in inodes}
 
@@ -77,9 +77,15 @@
 
 
 def _all_connections() -> Iterator[Connection]:
+    # gRPC's sockets are IPv6 ones with mapped IPv4 addresses.
+    yield from _connections_in(socket.AF_INET)
+    yield from _connections_in(socket.AF_INET6)
+
+
+def _connections_in(family: int) -> Iterator[Connection]:
     extensions = 1 << (_INET_DIAG_INFO - 1)
     query = struct.pack(
-        '=BBBBI48x', socket.AF_INET, socket.IPPROTO_TCP, extensions, 0, _ALL_STATES
+        '=BBBBI48x', family, socket.IPPROTO_TCP, extensions, 0, _ALL_STATES
     )
     length = _HEADER.size + len(query)
     header = _HEADER.pack(length, _SOCK_DIAG_BY_FAMILY, _REQUEST_DUMP, 1, 0)
