--- a/Makefile
+++ b/Makefile
@@ -47,4 +47,9 @@
 proto: $(READY) ## regenerate the gRPC code from peer.proto
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. chiveworks/membership/peer.proto
 
+binary: $(READY) ## build dist/chiveworks, one executable file
+	mkdir -p dist
+	$(BIN)/pex . --constraints constraints.txt --use-pip-config \
+		--console-script chiveworks --venv --sh-boot -o dist/chiveworks
+
 .PHONY: help setup format lint test demo promises bench bench-scale bench-idle binary proto
