List the tasks that run to completion in a zone that is out

A shard's description gets remaining_tasks: while the zone is out, the active tasks that are neither idempotent nor able to checkpoint. They are not evicted, so an operator has to know of them before work on the machines begins.

--- a/chiveworks/membership/_shard_view.py
+++ b/chiveworks/membership/_shard_view.py
@@ -6,6 +6,7 @@
 from chiveworks.membership._job_view import JobView
 from chiveworks.membership._override_view import OverrideView
 from chiveworks.membership._task_count import TaskCount
+from chiveworks.membership._task_view import TaskView
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +22,8 @@
         quarantined_workers: Workers that receive no starts for now.
         overrides: Open manual overrides.
         unknown_outcomes: Jobs in the state "outcome unknown".
+        remaining_tasks: While the zone is out, the tasks that run to completion
+            there because they cannot be evicted.
     """
 
     zone: ZoneName
@@ -31,3 +34,4 @@
     quarantined_workers: tuple[WorkerId, ...] = ()
     overrides: tuple[OverrideView, ...] = ()
     unknown_outcomes: tuple[JobView, ...] = ()
+    remaining_tasks: tuple[TaskView, ...] = ()
--- a/chiveworks/membership/_wire_jobs.py
+++ b/chiveworks/membership/_wire_jobs.py
@@ -24,7 +24,7 @@
         home=job.home,
         generation=job.generation,
         reason=job.reason,
-        tasks=[_task_to_wire(task) for task in job.tasks],
+        tasks=[task_to_wire(task) for task in job.tasks],
     )
 
 
@@ -42,11 +42,12 @@
         home=ZoneName(message.home),
         generation=message.generation,
         reason=message.reason,
-        tasks=tuple(_task_from_wire(task) for task in message.tasks),
+        tasks=tuple(task_from_wire(task) for task in message.tasks),
     )
 
 
-def _task_to_wire(task: TaskView) -> Any:
+def task_to_wire(task: TaskView) -> Any:
+    """Converts a task to protobuf."""
     return peer_pb2.TaskView(
         task_id=task.task_id,
         state=TASK_STATES.encode(task.state),
@@ -56,7 +57,12 @@
     )
 
 
-def _task_from_wire(message: Any) -> TaskView:
+def task_from_wire(message: Any) -> TaskView:
+    """Converts a task from protobuf.
+
+    Raises:
+        ValueError: Its state is unknown to this version.
+    """
     return TaskView(
         task_id=TaskId(message.task_id),
         state=TASK_STATES.decode(message.state),
--- a/chiveworks/membership/_wire_shards.py
+++ b/chiveworks/membership/_wire_shards.py
@@ -11,7 +11,13 @@
 from chiveworks.membership._override_view import OverrideView
 from chiveworks.membership._shard_view import ShardView
 from chiveworks.membership._task_count import TaskCount
-from chiveworks.membership._wire_jobs import TASK_STATES, job_from_wire, job_to_wire
+from chiveworks.membership._wire_jobs import (
+    TASK_STATES,
+    job_from_wire,
+    job_to_wire,
+    task_from_wire,
+    task_to_wire,
+)
 
 OVERRIDE_ACTIONS = EnumCodec(
     OverrideAction, peer_pb2.OverrideAction, 'OVERRIDE_ACTION_'
@@ -70,6 +76,7 @@
         quarantined_workers=shard.quarantined_workers,
         overrides=[override_to_wire(override) for override in shard.overrides],
         unknown_outcomes=[job_to_wire(job) for job in shard.unknown_outcomes],
+        remaining_tasks=[task_to_wire(task) for task in shard.remaining_tasks],
     )
 
 
@@ -92,4 +99,5 @@
         quarantined_workers=tuple(map(WorkerId, message.quarantined_workers)),
         overrides=tuple(map(override_from_wire, message.overrides)),
         unknown_outcomes=tuple(map(job_from_wire, message.unknown_outcomes)),
+        remaining_tasks=tuple(map(task_from_wire, message.remaining_tasks)),
     )
--- a/chiveworks/scheduler/_shard_service.py
+++ b/chiveworks/scheduler/_shard_service.py
@@ -81,5 +81,8 @@
                 self._context.table,
                 len(self._list_workers()),
                 self._quarantine.quarantined(),
+                is_leaving=not self._context.replica.is_in_service(
+                    self._context.tenure.zone
+                ),
             )
         )
--- a/chiveworks/scheduler/_shard_views.py
+++ b/chiveworks/scheduler/_shard_views.py
@@ -4,7 +4,7 @@
 
 from chiveworks.base import WorkerId
 from chiveworks.jobs import TaskTable
-from chiveworks.membership import JobState, ShardView, TaskCount
+from chiveworks.membership import JobState, ShardView, TaskCount, TaskView
 from chiveworks.scheduler._tenure import Tenure
 
 
@@ -13,6 +13,8 @@
     table: TaskTable,
     worker_count: int,
     quarantined: tuple[WorkerId, ...],
+    *,
+    is_leaving: bool,
 ) -> ShardView:
     """Returns counts, open overrides and jobs with unknown outcome."""
     counts = Counter(task.state for task in table.tasks.values())
@@ -29,4 +31,14 @@
             for job in table.jobs.values()
             if job.state is JobState.OUTCOME_UNKNOWN
         ),
+        _remaining_tasks(table) if is_leaving else (),
+    )
+
+
+def _remaining_tasks(table: TaskTable) -> tuple[TaskView, ...]:
+    """Returns the tasks that a departing zone does not evict."""
+    return tuple(
+        task.view()
+        for task in table.active_tasks()
+        if not table.job_of(task.task_id).spec.resumable
     )
