Keep manual overrides truthful from the first report to their end

Cause: a renewal for a ticket was never compared with the table; the room of a copy left behind by a move counted as free; overrides closed only by an operator's decision; a decision was two commits; every failed command was reported as not run; an idle worker's lease (15 s, quoting a ticket 8 s old) lapsed 1 s before each renewal, so a task started there by hand was stopped.

Ruled out: closing overrides in the reports alone (a task also ends without one), and reserving the declared size of a shrunk task (nobody could use the room that was made by hand).

--- a/chiveworks/scheduler/_fleet.py
+++ b/chiveworks/scheduler/_fleet.py
@@ -9,7 +9,6 @@
 from chiveworks.catalogue import CatalogueReplica
 from chiveworks.instances import Instance, InstanceState
 from chiveworks.jobs import TaskTable
-from chiveworks.membership import OverrideKind
 from chiveworks.placement import Candidate, CandidateIndex, Quarantine
 from chiveworks.scheduler._worker_session import WorkerSession
 
@@ -39,13 +38,13 @@
         for session in sessions.values():
             is_live = session.instance.state is InstanceState.LIVE
             if is_live and session.is_in_contact and not session.has_pending_starts:
-                index.put(self._candidate(session.instance))
+                index.put(self._candidate(session))
         return index
 
-    def free_on(self, instance: Instance) -> Resources:
-        """Returns what no service, claim or unclaimed task holds on a worker."""
-        worker = WorkerId(instance.instance_id)
-        held = self._table.reserved_on(worker) + self._unclaimed_on(worker)
+    def free_on(self, session: WorkerSession) -> Resources:
+        """Returns what no service, claim or reported task holds on a worker."""
+        instance = session.instance
+        held = self._table.reserved_on(session.worker) + self._unclaimed_on(session)
         return instance.capacity - self._held_by_services(instance) - held
 
     def fits_empty(self, demand: Resources, instances: Iterable[Instance]) -> bool:
@@ -55,8 +54,8 @@
             for instance in instances
         )
 
-    def _candidate(self, instance: Instance) -> Candidate:
-        worker = WorkerId(instance.instance_id)
+    def _candidate(self, session: WorkerSession) -> Candidate:
+        instance, worker = session.instance, session.worker
         kinds = Counter(
             self._table.job_of(task.task_id).spec.kind
             for task in self._table.active_on(worker)
@@ -67,7 +66,7 @@
             worker_id=worker,
             rack=instance.rack,
             capacity=instance.capacity,
-            free=self.free_on(instance),
+            free=self.free_on(session),
             kinds=dict(kinds),
             service_kinds=services,
             load=self._load_of(worker),
@@ -83,9 +82,20 @@
                 held += entry.resources
         return held
 
-    def _unclaimed_on(self, worker: WorkerId) -> Resources:
+    def _unclaimed_on(self, session: WorkerSession) -> Resources:
+        """Returns what reported attempts hold that no claim accounts for.
+
+        Besides tasks started by hand these are copies that are still to be
+        stopped, such as the one left behind by a move.
+        """
         held = _NOTHING
-        for override in self._table.overrides.values():
-            if override.kind is OverrideKind.UNCLAIMED and override.worker == worker:
-                held += override.allotted
+        if session.report is None:
+            return held
+        claimed = {
+            (task.task_id, task.attempt)
+            for task in self._table.active_on(session.worker)
+        }
+        for one in session.report.tasks:
+            if not one.state.ended and (one.task_id, one.attempt) not in claimed:
+                held += one.allotted
         return held
--- a/chiveworks/scheduler/_override_records.py
+++ b/chiveworks/scheduler/_override_records.py
@@ -19,7 +19,7 @@
     worker: WorkerId,
     report: TaskReport,
     spec: TaskSpec | None,
-    now: datetime,
+    since: datetime,
 ) -> OverrideRecord:
     """Returns the record of an override.
 
@@ -28,7 +28,7 @@
         worker: Worker that reported it.
         report: The report.
         spec: Properties of the task; None when nobody claimed it.
-        now: Time at which it was noticed, in UTC.
+        since: Time at which it was first noticed, in UTC.
     """
     return OverrideRecord(
         override_id=override_id_of(kind, report),
@@ -38,7 +38,7 @@
         attempt=report.attempt,
         entry=spec.entry if spec else EntryName(''),
         owner=spec.owner if spec else '',
-        since=now,
+        since=since,
         detail=_DETAILS[kind].format(
             worker=worker, allotted=_describe(report.allotted)
         ),
--- a/chiveworks/scheduler/_override_resolver.py
+++ b/chiveworks/scheduler/_override_resolver.py
@@ -1,13 +1,17 @@
 """Adopts or reverts manual overrides."""
 
+import asyncio
 from collections.abc import Mapping
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
 from chiveworks.base import Failure, Step, Verdict, WorkerId
 from chiveworks.catalogue import CatalogueEditor
 from chiveworks.jobs import (
+    Change,
     OverrideClosed,
+    OverrideNoted,
     OverrideRecord,
     TaskReleased,
     TaskResized,
@@ -21,8 +25,13 @@
     ShardFailure,
     TaskState,
 )
+from chiveworks.scheduler._fleet import Fleet
 from chiveworks.scheduler._shard_context import ShardContext
+from chiveworks.scheduler._shard_lost_error import ShardLostError
 from chiveworks.scheduler._worker_session import WorkerSession
+from chiveworks.workers import Refusal
+
+_ADOPTED = '; adopted by '
 
 
 class OverrideResolver:
@@ -33,12 +42,17 @@
     | moved     | it stays on its new worker             | it is evicted        |
     | resized   | the catalogue entry takes the new size | the old size returns |
     | unclaimed | it stays and holds its resources       | it is stopped        |
+
+    A task that cannot be evicted (neither idempotent nor able to checkpoint)
+    stays where it was moved. A stopped task stays listed until a report confirms
+    its end, and an adopted unclaimed one as long as it runs.
     """
 
     def __init__(
         self,
         context: ShardContext,
         editor: CatalogueEditor,
+        fleet: Fleet,
         sessions: Mapping[WorkerId, WorkerSession],
     ) -> None:
         self._tenure = context.tenure
@@ -46,6 +60,7 @@
         self._ledger = context.ledger
         self._replica = context.replica
         self._editor = editor
+        self._fleet = fleet
         self._sessions = sessions
 
     async def resolve(
@@ -54,51 +69,72 @@
         """Adopts or reverts one override."""
         override = self._table.overrides.get(resolution.override_id)
         if override is None:
-            return Err(
-                self._refuse(
-                    f'there is no open override {resolution.override_id!r}',
-                    FailureReason.UNKNOWN_OVERRIDE,
-                )
-            )
-        if resolution.action is OverrideAction.ADOPT:
-            failure = await self._adopt(override, resolution.author)
-        else:
-            failure = await self._revert(override)
+            return Err(self._gone(resolution.override_id))
+        try:
+            failure = await self._carry_out(override, resolution)
+        except ShardLostError as error:
+            return Err(self._unknown(f'the shard changed its owner: {error}'))
         if failure is not None:
             return Err(failure)
         return Ok(override.view(self._tenure.zone))
 
+    async def _carry_out(
+        self, override: OverrideRecord, resolution: OverrideResolution
+    ) -> Failure | None:
+        if resolution.action is OverrideAction.ADOPT:
+            return await self._adopt(override, resolution.author)
+        return await self._revert(override)
+
     async def _adopt(self, override: OverrideRecord, author: str) -> Failure | None:
-        if override.kind is OverrideKind.RESIZED:
-            failure = await self._adopt_size(override, author)
-            if failure is not None:
-                return failure
-        if override.kind is OverrideKind.STOPPED:
-            await self._release(override, TaskState.CANCELLED)
-        elif override.kind is OverrideKind.UNCLAIMED:
-            # It stays listed: its resources are held as long as it runs.
-            return None
-        await self._ledger.commit(OverrideClosed(override.override_id))
+        match override.kind:
+            case OverrideKind.STOPPED:
+                return await self._release(override, TaskState.CANCELLED)
+            case OverrideKind.UNCLAIMED:
+                await self._mark_adopted(override, author)
+                return None
+            case OverrideKind.RESIZED:
+                failure = await self._adopt_size(override, author)
+                if failure is not None:
+                    return failure
+        await self._commit(OverrideClosed(override.override_id))
         return None
 
     async def _revert(self, override: OverrideRecord) -> Failure | None:
-        if override.kind is OverrideKind.STOPPED:
-            await self._release(override, TaskState.QUEUED)
-        elif override.kind is OverrideKind.RESIZED:
-            failure = await self._restore_size(override)
-            if failure is not None:
-                return failure
-        else:
-            failure = await self._stop(override)
-            if failure is not None:
-                return failure
-        await self._ledger.commit(OverrideClosed(override.override_id))
-        return None
+        match override.kind:
+            case OverrideKind.STOPPED:
+                # The task may have been started elsewhere by hand meanwhile: then
+                # the reports turn this override into a move.
+                await asyncio.gather(
+                    *(session.renew() for session in self._sessions.values())
+                )
+                return await self._release(override, TaskState.QUEUED)
+            case OverrideKind.RESIZED:
+                return await self._restore_size(override)
+            case OverrideKind.MOVED if not self._may_evict(override):
+                return self._refuse(
+                    'the task is not idempotent and cannot checkpoint, so it is '
+                    'not evicted',
+                    'adopt the move, or let the task end',
+                )
+        return await self._stop(override)
 
-    async def _release(self, override: OverrideRecord, state: TaskState) -> None:
+    async def _release(
+        self, override: OverrideRecord, state: TaskState
+    ) -> Failure | None:
         task = self._table.tasks.get(override.task_id)
-        if task is not None and task.state is TaskState.HELD:
-            await self._ledger.commit(TaskReleased(task.task_id, state))
+        is_open = override.override_id in self._table.overrides
+        if task is None or task.state is not TaskState.HELD or not is_open:
+            return self._gone(override.override_id)
+        # One commit: a decision that comes at the same time finds no override.
+        await self._commit(
+            TaskReleased(task.task_id, state), OverrideClosed(override.override_id)
+        )
+        return None
+
+    async def _mark_adopted(self, override: OverrideRecord, author: str) -> None:
+        if _ADOPTED not in override.detail:
+            detail = f'{override.detail}{_ADOPTED}{author}'
+            await self._commit(OverrideNoted(replace(override, detail=detail)))
 
     async def _adopt_size(
         self, override: OverrideRecord, author: str
@@ -107,6 +143,7 @@
         if entry is None:
             return self._refuse(
                 f'the catalogue has no entry {override.entry!r}',
+                'apply the entry again, or revert the override',
                 FailureReason.UNKNOWN_ENTRY,
             )
         resized = entry.model_copy(
@@ -124,37 +161,102 @@
             return applied.err_value
         return self._refuse(
             f'entry {override.entry!r} was changed at the same time',
+            'look at the entry and adopt again',
             FailureReason.CONFLICT,
         )
 
     async def _restore_size(self, override: OverrideRecord) -> Failure | None:
-        task = self._table.tasks.get(override.task_id)
         session = self._sessions.get(override.worker)
-        if task is None or not task.is_active or session is None:
-            return None
+        if session is None:
+            return self._out_of_reach(override)
+        renewed = await session.renew()
+        if isinstance(renewed, Err):
+            return self._out_of_reach(override)
+        task = self._table.tasks.get(override.task_id)
+        if override.override_id not in self._table.overrides or task is None:
+            return self._gone(override.override_id)
         declared = self._table.job_of(task.task_id).spec.resources
+        if not (declared - task.reserved).fits_in(self._fleet.free_on(session)):
+            return self._refuse(
+                f'worker {override.worker} has no room for the declared size',
+                'wait until a task there has ended, or adopt the new size',
+            )
+        # Reserved before the worker grows it; a report corrects what failed.
+        self._ledger.commit(TaskResized(task.task_id, declared.maximum(task.reserved)))
         resized = await session.resize(
-            task.task_id, task.attempt, declared.cpu_millicores
+            override.task_id, override.attempt, declared.cpu_millicores
         )
         if isinstance(resized, Err):
-            return self._refuse(f'worker {override.worker}: {resized.err_value}')
-        await self._ledger.commit(TaskResized(task.task_id, declared))
+            return self._command_failed(override, resized.err_value)
+        if task.is_active:
+            self._ledger.commit(TaskResized(task.task_id, declared))
+        await self._commit(OverrideClosed(override.override_id))
         return None
 
     async def _stop(self, override: OverrideRecord) -> Failure | None:
         session = self._sessions.get(override.worker)
         if session is None:
-            return self._refuse(f'worker {override.worker} is not in reach')
+            return self._out_of_reach(override)
         stopped = await session.stop(
             override.task_id, override.attempt, checkpoint=True
         )
         if isinstance(stopped, Err):
-            return self._refuse(f'worker {override.worker}: {stopped.err_value}')
+            return self._command_failed(override, stopped.err_value)
+        # The report that confirms the end frees the resources.
+        await session.renew()
         return None
 
+    def _may_evict(self, override: OverrideRecord) -> bool:
+        if override.task_id not in self._table.tasks:
+            return True
+        return self._table.job_of(override.task_id).spec.resumable
+
+    async def _commit(self, *changes: Change) -> None:
+        # A caller that gives up must not cancel the commit that others wait for.
+        await asyncio.shield(self._ledger.commit(*changes))
+
+    def _gone(self, override_id: str) -> ShardFailure:
+        return self._refuse(
+            f'there is no open override {override_id!r}',
+            'list the open ones with chiveworks status',
+            FailureReason.UNKNOWN_OVERRIDE,
+        )
+
+    def _out_of_reach(self, override: OverrideRecord) -> ShardFailure:
+        return self._refuse(
+            f'worker {override.worker} is out of reach',
+            'repeat the command when the worker is back',
+        )
+
+    def _command_failed(
+        self, override: OverrideRecord, error: Failure | Refusal
+    ) -> ShardFailure:
+        if isinstance(error, Refusal):
+            return self._refuse(f'worker {override.worker}: {error}')
+        if error.verdict is Verdict.NOT_RUN:
+            return self._out_of_reach(override)
+        return self._unknown(f'worker {override.worker}: {error.message}')
+
+    def _unknown(self, message: str) -> ShardFailure:
+        return ShardFailure(
+            Verdict.OUTCOME_UNKNOWN,
+            Step.STOP,
+            self._tenure.owner,
+            message,
+            'look at chiveworks status, then repeat the command',
+        )
+
     def _refuse(
-        self, message: str, reason: FailureReason = FailureReason.UNSPECIFIED
+        self,
+        message: str,
+        next_step: str = '',
+        reason: FailureReason = FailureReason.UNSPECIFIED,
     ) -> ShardFailure:
         return ShardFailure(
-            Verdict.NOT_RUN, Step.VALIDATE, self._tenure.owner, message, reason=reason
+            Verdict.NOT_RUN,
+            Step.VALIDATE,
+            self._tenure.owner,
+            message,
+            next_step,
+            reason=reason,
         )
--- /dev/null
+++ b/chiveworks/scheduler/_override_sweep.py
@@ -0,0 +1,28 @@
+"""Overrides that have ceased to exist."""
+
+from chiveworks.jobs import OverrideRecord, TaskTable
+from chiveworks.membership import OverrideKind, TaskState
+
+
+def ceased_overrides(table: TaskTable) -> tuple[str, ...]:
+    """Returns the ids of overrides that no longer describe anything.
+
+    Their task ended, was cancelled or became that of a job of this shard. They
+    are looked for apart from the reports: a task also ends without one.
+    """
+    return tuple(
+        override_id
+        for override_id, override in table.overrides.items()
+        if _has_ceased(table, override)
+    )
+
+
+def _has_ceased(table: TaskTable, override: OverrideRecord) -> bool:
+    task = table.tasks.get(override.task_id)
+    if override.kind is OverrideKind.UNCLAIMED:
+        return task is not None
+    if task is None or task.attempt != override.attempt:
+        return True
+    if override.kind is OverrideKind.STOPPED:
+        return task.state is not TaskState.HELD
+    return not task.is_active
--- a/chiveworks/scheduler/_reconcile.py
+++ b/chiveworks/scheduler/_reconcile.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime
 
-from chiveworks.base import TaskId
+from chiveworks.base import TaskId, WorkerId
 from chiveworks.jobs import (
     OverrideClosed,
     OverrideNoted,
@@ -52,8 +52,20 @@
             if task.task_id not in listed:
                 self._judge_missing(report, task, starts.get(task.task_id), outcome)
         self._close_ended_overrides(report, outcome)
+        outcome.gone.extend(
+            task_id
+            for task_id, start in starts.items()
+            if self._is_settled(report.worker, task_id, start)
+        )
         return outcome
 
+    def _is_settled(self, worker: WorkerId, task_id: TaskId, start: StartTrack) -> bool:
+        """Tells whether the attempt of a tracked start has ended or moved away."""
+        task = self._table.tasks.get(task_id)
+        if task is None or not task.is_active:
+            return True
+        return task.worker != worker or task.attempt != start.attempt
+
     def _compare(
         self,
         report: WorkerReport,
@@ -115,12 +127,35 @@
         if task_report.checkpoint:
             task.checkpoint = task_report.checkpoint
         if is_resized(task, task_report):
-            spec = self._table.job_of(task.task_id).spec
-            override = note_override(
-                OverrideKind.RESIZED, report.worker, task_report, spec, now
-            )
-            outcome.changes.append(TaskResized(task.task_id, task_report.allotted))
-            outcome.changes.append(OverrideNoted(override))
+            self._follow_size(report, task, task_report, now, outcome)
+
+    def _follow_size(
+        self,
+        report: WorkerReport,
+        task: TaskRecord,
+        task_report: TaskReport,
+        now: datetime,
+        outcome: Reconciliation,
+    ) -> None:
+        """Reserves what the worker holds; the declared size is no override."""
+        kind = OverrideKind.RESIZED
+        spec = self._table.job_of(task.task_id).spec
+        outcome.changes.append(TaskResized(task.task_id, task_report.allotted))
+        if task_report.allotted == spec.resources:
+            override_id = override_id_of(kind, task_report)
+            if override_id in self._table.overrides:
+                outcome.changes.append(OverrideClosed(override_id))
+            return
+        since = self._since(kind, task_report, now)
+        override = note_override(kind, report.worker, task_report, spec, since)
+        outcome.changes.append(OverrideNoted(override))
+
+    def _since(
+        self, kind: OverrideKind, task_report: TaskReport, now: datetime
+    ) -> datetime:
+        """Returns when the override was first noticed."""
+        noted = self._table.overrides.get(override_id_of(kind, task_report))
+        return noted.since if noted else now
 
     def _compare_unknown(
         self,
@@ -135,9 +170,9 @@
         override_id = override_id_of(OverrideKind.UNCLAIMED, task_report)
         noted = self._table.overrides.get(override_id)
         if noted is None or noted.allotted != task_report.allotted:
-            override = note_override(
-                OverrideKind.UNCLAIMED, report.worker, task_report, None, now
-            )
+            kind = OverrideKind.UNCLAIMED
+            since = self._since(kind, task_report, now)
+            override = note_override(kind, report.worker, task_report, None, since)
             outcome.changes.append(OverrideNoted(override))
 
     def _compare_elsewhere(
@@ -152,13 +187,16 @@
         if task_report.state.ended:
             outcome.acknowledge.append((task.task_id, task.attempt))
             return
-        if override_id_of(OverrideKind.MOVED, task_report) in self._table.overrides:
+        moved_id = override_id_of(OverrideKind.MOVED, task_report)
+        if task.is_active and moved_id in self._table.overrides:
             # Moved already, and the former worker still runs it: one copy only.
             outcome.stale.append((task.task_id, task.attempt))
             return
         spec = self._table.job_of(task.task_id).spec
+        # A move whose stop was noticed first began with that stop.
+        since = self._since(OverrideKind.STOPPED, task_report, now)
         override = note_override(
-            OverrideKind.MOVED, report.worker, task_report, spec, now
+            OverrideKind.MOVED, report.worker, task_report, spec, since
         )
         stopped_id = override_id_of(OverrideKind.STOPPED, task_report)
         if stopped_id in self._table.overrides:
@@ -166,6 +204,8 @@
         # Followed before the size is compared: the reservation moves with it.
         outcome.changes.append(TaskMoved(task.task_id, report.worker, report.boot_id))
         outcome.changes.append(OverrideNoted(override))
+        if is_resized(task, task_report):
+            self._follow_size(report, task, task_report, now, outcome)
 
     def _judge_missing(
         self,
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from result import Err, Ok
+from result import Err
 
 from chiveworks.base import Attempt, Failure, TaskId, WorkerId
 from chiveworks.instances import Instance
-from chiveworks.jobs import TaskRecord
-from chiveworks.membership import TaskState
+from chiveworks.jobs import OverrideClosed, TaskRecord
+from chiveworks.membership import OverrideKind, TaskState
 from chiveworks.scheduler import _attempt_end as attempt_end
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._reconcile import Reconciler
@@ -65,7 +65,7 @@
         for worker in self.sessions.keys() - listed.keys() - in_use:
             self.sessions.pop(worker)
             self._running.pop(worker).cancel()
-        self._end_tasks_of_unlisted(in_use - self.sessions.keys())
+        self._settle_unlisted(in_use - self.sessions.keys())
 
     async def stop_task(self, task: TaskRecord, *, checkpoint: bool) -> None:
         """Asks a task's worker to stop it, unless it was asked just now."""
@@ -81,9 +81,7 @@
             _check_epoch(stopped.err_value)
             return
         # The report that confirms the end is fetched at once.
-        renewed = await session.renew()
-        if isinstance(renewed, Ok):
-            self._on_report(session, renewed.ok_value)
+        await session.renew()
 
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
@@ -129,13 +127,18 @@
             reason = f'worker {session.worker} is silent and its lease lapsed'
             self._lose_tasks(session.worker, reason)
 
-    def _end_tasks_of_unlisted(self, workers: set[WorkerId]) -> None:
-        """Ends tasks of workers that vanished before this owner met them."""
+    def _settle_unlisted(self, workers: set[WorkerId]) -> None:
+        """Ends tasks and overrides of workers that vanished for good."""
         timings = self._context.timings
         bound = self._context.tenure.started + timings.first_lease_bound
-        if self._context.clock.monotonic() > bound:
-            for worker in workers:
-                self._lose_tasks(worker, f'worker {worker} is no longer listed')
+        if self._context.clock.monotonic() <= bound:
+            return
+        for worker in workers:
+            self._lose_tasks(worker, f'worker {worker} is no longer listed')
+        for override in tuple(self._context.table.overrides.values()):
+            is_unclaimed = override.kind is OverrideKind.UNCLAIMED
+            if is_unclaimed and override.worker not in self.sessions:
+                self._context.ledger.commit(OverrideClosed(override.override_id))
 
     def _lose_tasks(self, worker: WorkerId, reason: str) -> None:
         for task in self._context.table.active_on(worker):
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -105,7 +105,7 @@
     service = ShardService(
         context,
         JobRegistrar(context, scheduler.stop_job),
-        OverrideResolver(context, environment.editor, keeper.sessions),
+        OverrideResolver(context, environment.editor, fleet, keeper.sessions),
         quarantine,
         keeper.workers,
     )
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -1,16 +1,21 @@
 """Scheduling of one shard during one tenure."""
 
-from chiveworks.jobs import JobRecord, OwnerReleased, TaskEnded
+import logging
+
+from chiveworks.jobs import JobRecord, OverrideClosed, OwnerReleased, TaskEnded
 from chiveworks.membership import TaskState
 from chiveworks.placement import Quarantine
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._job_closer import JobCloser
+from chiveworks.scheduler._override_sweep import ceased_overrides
 from chiveworks.scheduler._session_keeper import SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._start_round import StartRound
 from chiveworks.scheduler._work_queue import WorkQueue
 from chiveworks.scheduler._zone_departure import ZoneDeparture
 
+_LOG = logging.getLogger(__name__)
+
 
 class ShardScheduler:
     """Runs the rounds of starts and the departure of the zone."""
@@ -73,12 +78,18 @@
     async def _run_rounds(self) -> None:
         while True:
             self._keeper.update()
+            self._close_ceased_overrides()
             self._quarantine.resize(len(self._keeper.sessions))
             self._closer.refuse_oversized()
             self._closer.close_ended()
             await self._start_round.run(self._keeper.sessions)
             await self._context.clock.sleep(self._context.timings.commit_tick)
 
+    def _close_ceased_overrides(self) -> None:
+        for override_id in ceased_overrides(self._context.table):
+            _LOG.info('override %s has ceased to exist', override_id)
+            self._context.ledger.commit(OverrideClosed(override_id))
+
     async def _run_departure(self) -> None:
         while True:
             for task in self._departure.tasks_to_evict():
--- a/chiveworks/scheduler/_start_round.py
+++ b/chiveworks/scheduler/_start_round.py
@@ -142,7 +142,7 @@
         self, demand: Demand, session: WorkerSession, picks: list[_Pick]
     ) -> bool:
         """Checks capacity again: a report may have shown a manual override."""
-        free = self._fleet.free_on(session.instance)
+        free = self._fleet.free_on(session)
         for pick in picks:
             if pick.session is session:
                 free -= self._table.job_of(pick.task.task_id).spec.resources
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -24,6 +24,8 @@
 _NO_TICKET = TicketMs(0)
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
+_RENEWAL_MARGIN = timedelta(milliseconds=500)
+_SHORTEST_PAUSE = timedelta(0)
 
 
 class WorkerSession:
@@ -58,6 +60,7 @@
         self._leased_until = timedelta(0)
         self._acknowledged: set[tuple[TaskId, Attempt]] = set()
         self._lock = asyncio.Lock()
+        self._on_report: Callable[[WorkerSession, WorkerReport], None] = _ignore
 
     @property
     def is_leased(self) -> bool:
@@ -90,26 +93,44 @@
         """Renews the lease periodically; never ends by itself.
 
         Args:
-            on_report: Receives each report.
+            on_report: Receives each report, also of renewals between the periods.
             on_failure: Receives the error of each renewal that failed.
             period_of: Returns the time until the next renewal.
         """
+        self._on_report = on_report
         while True:
             # Only an attempt that began after the bound counts: this process
             # may have been paused, and the worker may have news.
             self.attempted_after_lapse = self._clock.monotonic() > self._lease_end
             renewed = await self.renew()
-            if isinstance(renewed, Ok):
-                on_report(self, renewed.ok_value)
-            else:
+            if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
-            await self._clock.sleep(period_of(self))
+            pause = period_of(self)
+            if isinstance(renewed, Ok):
+                pause = min(pause, self._longest_pause)
+            await self._clock.sleep(pause)
+
+    @property
+    def _longest_pause(self) -> timedelta:
+        """Time until the next renewal has to be sent to keep the lease alive.
+
+        A renewal quotes the ticket of the one before. With a lease of 15 s and
+        renewals every 8 s the lease of an idle worker lapsed 1 s before each
+        renewal, and a task started there by hand was stopped unnoticed.
+        """
+        left = self._leased_until - self._clock.monotonic()
+        return max(left - _RENEWAL_MARGIN, _SHORTEST_PAUSE)
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
         """Renews the control lease and takes over the worker's report."""
         async with self._lock:
-            return await self._renew_locked()
+            renewed = await self._renew_locked()
+        if isinstance(renewed, Ok):
+            # A report fetched for its ticket may show a manual override, which
+            # must count before the ticket is used.
+            self._on_report(self, renewed.ok_value)
+        return renewed
 
     async def ready_ticket(self) -> TicketMs | None:
         """Returns a fresh ticket under a live lease, or None without contact."""
@@ -196,5 +217,9 @@
         self._leased_until = now + report.lease_left_ms * _MS
 
 
+def _ignore(_session: WorkerSession, _report: WorkerReport) -> None:
+    """Stands in until `run` names the receiver of reports."""
+
+
 def _is_already_started(error: Failure | Refusal) -> bool:
     return isinstance(error, Refusal) and error.reason is RefusalReason.ALREADY_STARTED
