--- a/chiveworks/cli/_zone_commands.py
+++ b/chiveworks/cli/_zone_commands.py
@@ -12,6 +12,7 @@
 from chiveworks.cli._server_command import AUTHOR_OPTION, SERVER_OPTIONS, ServerCommand
 
 _COLUMNS = ('name', 'state', 'since', 'author', 'reason', 'revision')
+_TASK = ('task_id', 'state', 'attempt', 'worker')
 
 
 class _ZoneCommand(ServerCommand):
@@ -72,7 +73,19 @@
             _COLUMNS, ([zone.get(column) for column in _COLUMNS] for zone in zones)
         )
         for zone in zones:
-            # Tasks that cannot be evicted run to completion in a zone that is out.
-            if zone.get('tasks'):
-                self.printer.line(f'still running in {zone.get("name")}:')
-                self.printer.table(('task',), ([task] for task in zone['tasks']))
+            if zone.get('state') == ZoneState.OUT.value:
+                self._show_remaining(zone)
+
+    def _show_remaining(self, zone: dict[str, Any]) -> None:
+        """Shows the tasks that cannot be evicted and run to completion."""
+        name, tasks = zone.get('name'), zone.get('tasks')
+        self.printer.line('')
+        if tasks:
+            self.printer.line(f'still running in {name}, not evicted:')
+            self.printer.table(
+                _TASK, ([task.get(column) for column in _TASK] for task in tasks)
+            )
+        elif tasks is None:
+            self.printer.line(f'not known what runs in {name}: no shard owner answers')
+        else:
+            self.printer.line(f'nothing runs in {name} that cannot be evicted')
--- a/chiveworks/entry/_catalogue_replies.py
+++ b/chiveworks/entry/_catalogue_replies.py
@@ -59,11 +59,11 @@
     )
 
 
-def failure_response(failure: Failure) -> web.Response:
+def failure_response(failure: Failure, **extra: JsonValue) -> web.Response:
     """Answers 504 when the outcome is unknown, otherwise 503."""
     if failure.verdict is Verdict.OUTCOME_UNKNOWN:
-        return _error(HTTPStatus.GATEWAY_TIMEOUT, failure)
-    response = _error(HTTPStatus.SERVICE_UNAVAILABLE, failure)
+        return _error(HTTPStatus.GATEWAY_TIMEOUT, failure, **extra)
+    response = _error(HTTPStatus.SERVICE_UNAVAILABLE, failure, **extra)
     response.headers['Retry-After'] = '1'
     return response
 
@@ -79,14 +79,18 @@
     return refusal(RefusedError(HTTPStatus.BAD_REQUEST, 'invalid', message))
 
 
-def not_found(message: str) -> web.Response:
+def not_found(message: str, next_step: str = 'check the name') -> web.Response:
     """Answers 404."""
-    failure = Failure.not_run(Step.RESOLVE, '', message, 'check the name')
+    failure = Failure.not_run(Step.RESOLVE, '', message, next_step)
     return _error(HTTPStatus.NOT_FOUND, failure, reason='not_found')
 
 
 def _error(status: HTTPStatus, failure: Failure, **extra: JsonValue) -> web.Response:
-    fields = dataclasses.asdict(failure)
+    # Subclasses carry fields that only matter between entry processes.
+    fields = {
+        field.name: getattr(failure, field.name)
+        for field in dataclasses.fields(Failure)
+    }
     return web.json_response({'error': fields, **extra}, status=status)
 
 
--- a/chiveworks/entry/_catalogue_routes.py
+++ b/chiveworks/entry/_catalogue_routes.py
@@ -1,11 +1,12 @@
 """HTTP handlers of the catalogue and of the zones' switches."""
 
-from collections.abc import Iterable
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 from typing import Annotated, Final
 
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, JsonValue, ValidationError
 from result import Err
 
 from chiveworks.base import EntryName, Revision, ZoneName
@@ -46,6 +47,7 @@
     editor: CatalogueEditor,
     replica: CatalogueReplica,
     zones: Iterable[ZoneName] = (),
+    list_remaining: Callable[[ZoneName], Awaitable[JsonValue]] | None = None,
 ) -> None:
     """Adds the catalogue and zone endpoints to an application.
 
@@ -54,8 +56,9 @@
         editor: Writes changes.
         replica: Answers reads that need not be the latest.
         zones: Zones that exist. When given, other names are refused.
+        list_remaining: Lists the tasks that still run in a zone that is out.
     """
-    routes = _CatalogueRoutes(editor, replica, tuple(zones))
+    routes = _CatalogueRoutes(editor, replica, tuple(zones), list_remaining)
     app.add_routes(
         [
             web.get('/v1/catalogue', routes.list_entries),
@@ -75,10 +78,12 @@
         editor: CatalogueEditor,
         replica: CatalogueReplica,
         zones: tuple[ZoneName, ...],
+        list_remaining: Callable[[ZoneName], Awaitable[JsonValue]] | None,
     ) -> None:
         self._editor = editor
         self._replica = replica
         self._zones = zones
+        self._list_remaining = list_remaining
 
     async def list_entries(self, _request: web.Request) -> web.Response:
         entries = self._replica.entries()
@@ -149,14 +154,15 @@
     async def list_zones(self, _request: web.Request) -> web.Response:
         switches = self._replica.zone_switches()
         names = sorted({*self._zones, *switches})
-        return web.json_response(
-            {
-                'zones': [
-                    plain_zone(name, switches.get(name), self._replica)
-                    for name in names
-                ]
-            }
-        )
+        zones = await asyncio.gather(*(self._describe_zone(name) for name in names))
+        return web.json_response({'zones': zones})
+
+    async def _describe_zone(self, name: ZoneName) -> dict[str, JsonValue]:
+        fields = plain_zone(name, self._replica.zone_switch(name), self._replica)
+        is_out = not self._replica.is_in_service(name)
+        if is_out and self._list_remaining is not None:
+            fields['tasks'] = await self._list_remaining(name)
+        return fields
 
     async def put_zone(self, request: web.Request) -> web.Response:
         zone = ZoneName(request.match_info['name'])
--- a/chiveworks/entry/_create_app.py
+++ b/chiveworks/entry/_create_app.py
@@ -1,6 +1,7 @@
 """Assembly of the HTTP interface of an entry process."""
 
 from collections.abc import Callable
+from functools import partial
 
 import numpy as np
 from aiohttp import web
@@ -19,6 +20,7 @@
 from chiveworks.entry._service_monitor import ServiceMonitor
 from chiveworks.entry._service_routes import add_service_routes
 from chiveworks.entry._status_routes import add_status_routes
+from chiveworks.entry._zone_tasks import remaining_tasks
 from chiveworks.jobs import JobStore
 from chiveworks.routing import Dispatcher
 from chiveworks.settings import Settings
@@ -41,7 +43,13 @@
     app.middlewares.append(record_latencies(platform.replica, monitor, metrics, clock))
     app.middlewares.append(answer_errors)
     add_health_routes(app, is_ready, metrics)
-    add_catalogue_routes(app, platform.editor, platform.replica, zones)
+    add_catalogue_routes(
+        app,
+        platform.editor,
+        platform.replica,
+        zones,
+        partial(remaining_tasks, mesh.shards),
+    )
     add_job_routes(
         app,
         JobGateway(
--- a/chiveworks/entry/_job_request.py
+++ b/chiveworks/entry/_job_request.py
@@ -7,7 +7,10 @@
 from chiveworks.base import EntryName, TenantName
 from chiveworks.membership import JobSubmission
 
-_NAME_PATTERN = '^[a-z0-9][a-z0-9_-]{0,62}$'
+#: Job ids begin with the tenant and a dot, so a tenant's name has none here.
+_TENANT_PATTERN = '^[a-z0-9][a-z0-9_-]{0,62}$'
+#: As in the catalogue.
+_ENTRY_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
 #: A job's record holds payloads and results and must fit one value of the store.
 _PAYLOAD_BYTES = 16_384
 _PAYLOADS_BYTES = 262_144
@@ -21,9 +24,9 @@
 
     model_config = ConfigDict(strict=True, extra='forbid')
 
-    tenant: Annotated[str, Field(pattern=_NAME_PATTERN)]
+    tenant: Annotated[str, Field(pattern=_TENANT_PATTERN)]
     key: Annotated[str, Field(min_length=1, max_length=200)]
-    entry: Annotated[str, Field(pattern=_NAME_PATTERN)]
+    entry: Annotated[str, Field(pattern=_ENTRY_PATTERN)]
     payloads: Annotated[list[_Payload], Field(min_length=1, max_length=_MOST_TASKS)]
 
     def check_size(self) -> None:
--- a/chiveworks/entry/_job_routes.py
+++ b/chiveworks/entry/_job_routes.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 
 from aiohttp import web
-from pydantic import TypeAdapter, ValidationError
+from pydantic import JsonValue, TypeAdapter, ValidationError
 from result import Err, Result
 
 from chiveworks.base import EntryName, Failure, JobId, TenantName
@@ -47,12 +47,14 @@
 
 def shard_failure_response(failure: Failure) -> web.Response:
     """Answers a failed shard call, with its reason where it has one."""
-    response = failure_response(failure)
     reason = reason_of(failure)
+    named = reason is not FailureReason.UNSPECIFIED
+    extra: dict[str, JsonValue] = {'reason': reason.value} if named else {}
+    response = failure_response(failure, **extra)
     if reason in _STATUS_OF_REASON:
         response.set_status(_STATUS_OF_REASON[reason])
         response.headers.popall('Retry-After', None)
-    if reason is not FailureReason.UNSPECIFIED:
+    if named:
         response.headers['X-Chiveworks-Reason'] = reason.value
     return response
 
--- a/chiveworks/entry/_status_routes.py
+++ b/chiveworks/entry/_status_routes.py
@@ -1,12 +1,14 @@
 """HTTP handlers of the operators' overview and of manual overrides."""
 
 import asyncio
+from collections import Counter
+from typing import Any
 
 from aiohttp import web
 from pydantic import TypeAdapter
 from result import Err, Ok
 
-from chiveworks.base import ServiceClass, ZoneName
+from chiveworks.base import Failure, ServiceClass, Verdict, ZoneName
 from chiveworks.catalogue import CatalogueReplica
 from chiveworks.entry._catalogue_replies import invalid, not_found, plain_zone
 from chiveworks.entry._job_routes import shard_failure_response
@@ -58,7 +60,7 @@
 
     async def status(self, _request: web.Request) -> web.Response:
         views = await self._describe_shards()
-        plain_shards = [
+        plain_shards: list[dict[str, Any]] = [
             _SHARD.dump_python(view, mode='json')
             for view in views.values()
             if view is not None
@@ -66,6 +68,7 @@
         return web.json_response(
             {
                 'services': self._services(),
+                'jobs': _sum_jobs(plain_shards),
                 'zones': [self._plain_zone(name) for name in self._zones],
                 'shards': plain_shards,
                 'unreachable_zones': [
@@ -98,14 +101,24 @@
             return invalid('the action is adopt or revert')
         author = request.query.get('author', 'unknown')
         resolution = OverrideResolution(override_id, action, author)
+        unsettled: Failure | None = None
         for zone in self._zones:
             resolved = await self._shards.of_zone(zone).resolve_override(resolution)
             if isinstance(resolved, Ok):
                 plain = _OVERRIDE.dump_python(resolved.ok_value, mode='json')
                 return web.json_response({'override': plain})
-            if reason_of(resolved.err_value) not in _ASK_NEXT_ZONE:
-                return shard_failure_response(resolved.err_value)
-        return not_found(f'no zone in reach has an open override {override_id}')
+            failure = resolved.err_value
+            if failure.verdict is Verdict.OUTCOME_UNKNOWN:
+                return shard_failure_response(failure)
+            if reason_of(failure) is not FailureReason.UNKNOWN_OVERRIDE:
+                # This zone may be the one that has it.
+                unsettled = failure
+        if unsettled is not None:
+            return shard_failure_response(unsettled)
+        return not_found(
+            f'there is no open override {override_id}',
+            'list the open ones with chiveworks status',
+        )
 
     async def _describe_shards(self) -> dict[ZoneName, ShardView | None]:
         described = await asyncio.gather(
@@ -134,10 +147,10 @@
         return dict(plain_zone(name, switch, self._replica))
 
 
-_ASK_NEXT_ZONE = frozenset(
-    (
-        FailureReason.UNKNOWN_OVERRIDE,
-        FailureReason.NOT_OWNER,
-        FailureReason.UNSPECIFIED,
-    )
-)
+def _sum_jobs(shards: list[dict[str, Any]]) -> list[dict[str, object]]:
+    """Returns the number of jobs by state over all shards."""
+    counts: Counter[str] = Counter()
+    for shard in shards:
+        for one in shard['job_counts']:
+            counts[one['state']] += one['count']
+    return [{'state': state, 'count': counts[state]} for state in sorted(counts)]
--- a/chiveworks/membership/__init__.py
+++ b/chiveworks/membership/__init__.py
@@ -11,6 +11,7 @@
 from chiveworks.membership._exchange_reply import ExchangeReply
 from chiveworks.membership._exchange_request import ExchangeRequest
 from chiveworks.membership._failure_reason import FailureReason
+from chiveworks.membership._job_count import JobCount
 from chiveworks.membership._job_registration import JobRegistration
 from chiveworks.membership._job_state import JobState
 from chiveworks.membership._job_submission import JobSubmission
@@ -49,6 +50,7 @@
     'ExchangeReply',
     'ExchangeRequest',
     'FailureReason',
+    'JobCount',
     'JobRegistration',
     'JobState',
     'JobSubmission',
--- a/chiveworks/membership/_shard_view.py
+++ b/chiveworks/membership/_shard_view.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from chiveworks.base import EntryId, Epoch, WorkerId, ZoneName
+from chiveworks.membership._job_count import JobCount
 from chiveworks.membership._job_view import JobView
 from chiveworks.membership._override_view import OverrideView
 from chiveworks.membership._task_count import TaskCount
@@ -24,6 +25,7 @@
         unknown_outcomes: Jobs in the state "outcome unknown".
         remaining_tasks: While the zone is out, the tasks that run to completion
             there because they cannot be evicted.
+        job_counts: Jobs by state: open ones, and ended ones that are still kept.
     """
 
     zone: ZoneName
@@ -35,3 +37,4 @@
     overrides: tuple[OverrideView, ...] = ()
     unknown_outcomes: tuple[JobView, ...] = ()
     remaining_tasks: tuple[TaskView, ...] = ()
+    job_counts: tuple[JobCount, ...] = ()
--- a/chiveworks/membership/_wire_shards.py
+++ b/chiveworks/membership/_wire_shards.py
@@ -6,12 +6,14 @@
 from chiveworks.base import EntryId, EntryName, Epoch, TaskId, WorkerId, ZoneName
 from chiveworks.membership import peer_pb2
 from chiveworks.membership._enum_codec import EnumCodec
+from chiveworks.membership._job_count import JobCount
 from chiveworks.membership._override_action import OverrideAction
 from chiveworks.membership._override_kind import OverrideKind
 from chiveworks.membership._override_view import OverrideView
 from chiveworks.membership._shard_view import ShardView
 from chiveworks.membership._task_count import TaskCount
 from chiveworks.membership._wire_jobs import (
+    JOB_STATES,
     TASK_STATES,
     job_from_wire,
     job_to_wire,
@@ -77,6 +79,10 @@
         overrides=[override_to_wire(override) for override in shard.overrides],
         unknown_outcomes=[job_to_wire(job) for job in shard.unknown_outcomes],
         remaining_tasks=[task_to_wire(task) for task in shard.remaining_tasks],
+        job_counts=[
+            peer_pb2.JobCount(state=JOB_STATES.encode(entry.state), count=entry.count)
+            for entry in shard.job_counts
+        ],
     )
 
 
@@ -100,4 +106,8 @@
         overrides=tuple(map(override_from_wire, message.overrides)),
         unknown_outcomes=tuple(map(job_from_wire, message.unknown_outcomes)),
         remaining_tasks=tuple(map(task_from_wire, message.remaining_tasks)),
+        job_counts=tuple(
+            JobCount(JOB_STATES.decode(entry.state), entry.count)
+            for entry in message.job_counts
+        ),
     )
--- a/chiveworks/membership/tests/support.py
+++ b/chiveworks/membership/tests/support.py
@@ -62,6 +62,8 @@
     quarantined_workers=(WorkerId('w9'),),
     overrides=(OVERRIDE,),
     unknown_outcomes=(JOB,),
+    remaining_tasks=JOB.tasks,
+    job_counts=(m.JobCount(m.JobState.HELD, 3),),
 )
 
 
--- a/chiveworks/scheduler/_job_closer.py
+++ b/chiveworks/scheduler/_job_closer.py
@@ -17,6 +17,10 @@
 
 _LOG = logging.getLogger(__name__)
 _RETRY = timedelta(seconds=2)
+#: Time from acceptance in which a job whose outcome is unknown stays listed.
+#: Without it the shard dropped such a job before an operator could see it.
+_UNKNOWN_KEPT = timedelta(days=7)
+_KEPT_CHECK = timedelta(hours=1)
 
 
 class JobCloser:
@@ -66,10 +70,16 @@
         await asyncio.shield(self._context.ledger.barrier())
         while not await self._write_end(job):
             await self._context.clock.sleep(_RETRY)
+        while self._is_kept(job):
+            await self._context.clock.sleep(_KEPT_CHECK)
         await self._context.ledger.commit(JobDropped(job.job_id))
         self._closing.discard(job.job_id)
         _LOG.info('job ended', extra={'job': job.job_id, 'zone': job.home})
 
+    def _is_kept(self, job: JobRecord) -> bool:
+        age = self._context.clock.now() - job.accepted_at
+        return job.state is JobState.OUTCOME_UNKNOWN and age < _UNKNOWN_KEPT
+
     async def _write_end(self, job: JobRecord) -> bool:
         fetched = await self._context.job_store.fetch(job.job_id)
         if isinstance(fetched, Err):
--- a/chiveworks/scheduler/_job_registrar.py
+++ b/chiveworks/scheduler/_job_registrar.py
@@ -198,6 +198,7 @@
         return self._refuse(
             f'the catalogue has no entry {submission.entry!r}',
             FailureReason.UNKNOWN_ENTRY,
+            'apply the entry, or name one of chiveworks catalogue get',
         )
 
     def _unknown_job(self, job_id: JobId) -> ShardFailure:
@@ -209,6 +210,7 @@
         return self._refuse(
             f'key {submission.key!r} belongs to a job with other contents',
             FailureReason.KEY_REUSED,
+            'use another key',
         )
 
     def _elsewhere(self, job: JobRecord) -> ShardFailure:
@@ -218,9 +220,16 @@
             FailureReason.CONFLICT,
         )
 
-    def _refuse(self, message: str, reason: FailureReason) -> ShardFailure:
+    def _refuse(
+        self, message: str, reason: FailureReason, next_step: str = ''
+    ) -> ShardFailure:
         return ShardFailure(
-            Verdict.NOT_RUN, Step.REGISTER, self._tenure.owner, message, reason=reason
+            Verdict.NOT_RUN,
+            Step.REGISTER,
+            self._tenure.owner,
+            message,
+            next_step,
+            reason=reason,
         )
 
     def _store_failure(self, failure: Failure) -> ShardFailure:
--- a/chiveworks/scheduler/_shard_views.py
+++ b/chiveworks/scheduler/_shard_views.py
@@ -4,7 +4,7 @@
 
 from chiveworks.base import WorkerId
 from chiveworks.jobs import TaskTable
-from chiveworks.membership import JobState, ShardView, TaskCount, TaskView
+from chiveworks.membership import JobCount, JobState, ShardView, TaskCount, TaskView
 from chiveworks.scheduler._tenure import Tenure
 
 
@@ -18,6 +18,7 @@
 ) -> ShardView:
     """Returns counts, open overrides and jobs with unknown outcome."""
     counts = Counter(task.state for task in table.tasks.values())
+    jobs = Counter(job.state for job in table.jobs.values())
     return ShardView(
         tenure.zone,
         tenure.owner,
@@ -32,6 +33,7 @@
             if job.state is JobState.OUTCOME_UNKNOWN
         ),
         _remaining_tasks(table) if is_leaving else (),
+        tuple(JobCount(state, count) for state, count in sorted(jobs.items())),
     )
 
 
