--- a/chiveworks/scheduler/_shard_views.py
+++ b/chiveworks/scheduler/_shard_views.py
@@ -4,7 +4,7 @@
 
 from chiveworks.base import WorkerId
 from chiveworks.jobs import TaskTable
-from chiveworks.membership import JobState, ShardView, TaskCount
+from chiveworks.membership import JobCount, JobState, ShardView, TaskCount, TaskView
 from chiveworks.scheduler._tenure import Tenure
 
 
@@ -13,9 +13,12 @@
     table: TaskTable,
     worker_count: int,
     quarantined: tuple[WorkerId, ...],
+    *,
+    is_leaving: bool,
 ) -> ShardView:
     """Returns counts, open overrides and jobs with unknown outcome."""
     counts = Counter(task.state for task in table.tasks.values())
+    jobs = Counter(job.state for job in table.jobs.values())
     return ShardView(
         tenure.zone,
         tenure.owner,
@@ -29,4 +32,15 @@
             for job in table.jobs.values()
             if job.state is JobState.OUTCOME_UNKNOWN
         ),
+        _remaining_tasks(table) if is_leaving else (),
+        tuple(JobCount(state, count) for state, count in sorted(jobs.items())),
+    )
+
+
+def _remaining_tasks(table: TaskTable) -> tuple[TaskView, ...]:
+    """Returns the tasks that a departing zone does not evict."""
+    return tuple(
+        task.view()
+        for task in table.active_tasks()
+        if not table.job_of(task.task_id).spec.resumable
     )
--- a/chiveworks/scheduler/_timings.py
+++ b/chiveworks/scheduler/_timings.py
@@ -8,6 +8,10 @@
 class SchedulerTimings:
     """Periods and limits, from the settings of the entry process.
 
+    A worker's lease outlasts the change from a killed owner to its successor:
+    two renewal periods (a renewal quotes the ticket of the one before), the
+    shard's lease, and 4 s to notice the vacancy and replay the journal.
+
     Attributes:
         worker_lease: Length of a worker's control lease.
         worker_renew: Period of renewals of a worker that runs tasks.
@@ -23,12 +27,12 @@
         unschedulable_after: Time after which a job that fits no worker is refused.
     """
 
-    worker_lease: timedelta = timedelta(seconds=15)
+    worker_lease: timedelta = timedelta(seconds=20)
     worker_renew: timedelta = timedelta(seconds=4)
     wanted_worker_renew: timedelta = timedelta(seconds=1)
     idle_worker_renew: timedelta = timedelta(seconds=8)
-    shard_lease: timedelta = timedelta(seconds=9)
-    shard_renew: timedelta = timedelta(seconds=3)
+    shard_lease: timedelta = timedelta(seconds=6)
+    shard_renew: timedelta = timedelta(seconds=2)
     commit_tick: timedelta = timedelta(milliseconds=250)
     ticket_max_age: timedelta = timedelta(seconds=2)
     ticket_fresh_age: timedelta = timedelta(milliseconds=500)
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -24,6 +24,8 @@
 _NO_TICKET = TicketMs(0)
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
+_RENEWAL_MARGIN = timedelta(milliseconds=500)
+_SHORTEST_PAUSE = timedelta(0)
 
 
 class WorkerSession:
@@ -102,12 +104,28 @@
             if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
-            await self._clock.sleep(period_of(self))
+            pause = period_of(self)
+            if isinstance(renewed, Ok):
+                pause = min(pause, self._longest_pause)
+            await self._clock.sleep(pause)
+
+    @property
+    def _longest_pause(self) -> timedelta:
+        """Time until the next renewal has to be sent to keep the lease alive.
+
+        A renewal quotes the ticket of the one before. With a lease of 15 s and
+        renewals every 8 s the lease of an idle worker lapsed 1 s before each
+        renewal, and a task started there by hand was stopped unnoticed.
+        """
+        left = self._leased_until - self._clock.monotonic()
+        return max(left - _RENEWAL_MARGIN, _SHORTEST_PAUSE)
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
         """Renews the control lease and hands the worker's report on.
 
-        Every report is handed on: it carries measurements that no later one has.
+        Every report is handed on, also one fetched for its ticket: it may show a
+        manual override, which must count before the ticket is used, and it carries
+        measurements that no later one has.
         """
         async with self._lock:
             return await self._renew_locked()
--- a/chiveworks/settings/tests/test_loader.py
+++ b/chiveworks/settings/tests/test_loader.py
@@ -42,7 +42,7 @@
         ),
         (
             'worker_renew_ms: 20000\n',
-            ['s.yaml:7: worker_renew_ms: expected less than worker_lease_ms (15000'],
+            ['s.yaml:7: worker_renew_ms: expected less than worker_lease_ms (20000'],
         ),
         (
             '# comment\nzones:\n- name: laita\n- {name: isole, latency_ms: -1}\n',
