Reconcile every report and shorten the renewal period after a start

Cause: the report that came with a start's ticket was not compared with the table, so a task started or resized by hand stayed unknown until the periodic renewal, up to 8 s later on an idle worker, and starts went beyond the worker's capacity. The same idle period was kept after a start, so that the end of a short task was noticed up to 8 s late.

Ruled out: the placement index and the reservation of claims; both were right for what the table knew.

Change: a session passes every report on, whichever call fetched it, and ends its pause early when a start is sent.

--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from result import Err, Ok
+from result import Err
 
 from chiveworks.base import Attempt, Failure, TaskId, WorkerId
 from chiveworks.instances import Instance
@@ -81,14 +81,13 @@
             _check_epoch(stopped.err_value)
             return
         # The report that confirms the end is fetched at once.
-        renewed = await session.renew()
-        if isinstance(renewed, Ok):
-            self._on_report(session, renewed.ok_value)
+        await session.renew()
 
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
+        session.follow(self._on_report)
         self._running[session.worker] = self._background.start(
-            session.run(self._on_report, self._on_failure, self._period_of)
+            session.run(self._on_failure, self._period_of)
         )
 
     def _period_of(self, session: WorkerSession) -> timedelta:
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -25,6 +25,8 @@
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
 
+ReportHandler = Callable[['WorkerSession', WorkerReport], None]
+
 
 class WorkerSession:
     """Renews a worker's control lease, sends it commands and keeps its report.
@@ -58,6 +60,8 @@
         self._leased_until = timedelta(0)
         self._acknowledged: set[tuple[TaskId, Attempt]] = set()
         self._lock = asyncio.Lock()
+        self._has_new_work = asyncio.Event()
+        self._on_report: ReportHandler = _ignore
 
     @property
     def is_leased(self) -> bool:
@@ -81,16 +85,22 @@
         """Lets the worker forget an ended attempt with the next renewal."""
         self._acknowledged.add((task_id, attempt))
 
+    def follow(self, on_report: ReportHandler) -> None:
+        """Passes each report on from now on, whichever call fetched it.
+
+        A start is decided on the report that came with its ticket: only that one
+        shows what was changed by hand since the last periodic renewal.
+        """
+        self._on_report = on_report
+
     async def run(
         self,
-        on_report: Callable[['WorkerSession', WorkerReport], None],
         on_failure: Callable[['WorkerSession', Failure | Refusal], None],
         period_of: Callable[['WorkerSession'], timedelta],
     ) -> None:
         """Renews the lease periodically; never ends by itself.
 
         Args:
-            on_report: Receives each report.
             on_failure: Receives the error of each renewal that failed.
             period_of: Returns the time until the next renewal.
         """
@@ -99,17 +109,18 @@
             # may have been paused, and the worker may have news.
             self.attempted_after_lapse = self._clock.monotonic() > self._lease_end
             renewed = await self.renew()
-            if isinstance(renewed, Ok):
-                on_report(self, renewed.ok_value)
-            else:
+            if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
-            await self._clock.sleep(period_of(self))
+            await self._pause(period_of)
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
         """Renews the control lease and takes over the worker's report."""
         async with self._lock:
-            return await self._renew_locked()
+            renewed = await self._renew_locked()
+            if isinstance(renewed, Ok):
+                self._on_report(self, renewed.ok_value)
+            return renewed
 
     async def ready_ticket(self) -> TicketMs | None:
         """Returns a fresh ticket under a live lease, or None without contact."""
@@ -127,6 +138,7 @@
             self.starts[order.task_id] = StartTrack(
                 order.attempt, StartPhase.SENT, order.ticket
             )
+            self._has_new_work.set()
             started = await self._control.start(order)
             if isinstance(started, Ok) or _is_already_started(started.err_value):
                 self.starts[order.task_id].phase = StartPhase.CONFIRMED
@@ -168,6 +180,28 @@
             return True
         return self._clock.monotonic() - sent > self._timings.stop_repeat
 
+    async def _pause(self, period_of: Callable[['WorkerSession'], timedelta]) -> None:
+        """Waits for the period, which becomes shorter when a start is sent.
+
+        Otherwise the end of a short task on an idle worker would be noticed only
+        after the period for idle workers.
+        """
+        began = self._clock.monotonic()
+        while True:
+            self._has_new_work.clear()
+            left = began + period_of(self) - self._clock.monotonic()
+            if left <= timedelta(0):
+                return
+            sleeper = asyncio.ensure_future(self._clock.sleep(left))
+            notice = asyncio.ensure_future(self._has_new_work.wait())
+            try:
+                await asyncio.wait(
+                    (sleeper, notice), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                sleeper.cancel()
+                notice.cancel()
+
     async def _renew_locked(self) -> Result[WorkerReport, Failure | Refusal]:
         quoted = self.report.ticket if self.report else _NO_TICKET
         acknowledged = tuple(sorted(self._acknowledged))
@@ -196,5 +230,9 @@
         self._leased_until = now + report.lease_left_ms * _MS
 
 
+def _ignore(_session: WorkerSession, _report: WorkerReport) -> None:
+    """Stands in until somebody follows the reports."""
+
+
 def _is_already_started(error: Failure | Refusal) -> bool:
     return isinstance(error, Refusal) and error.reason is RefusalReason.ALREADY_STARTED
--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -2,11 +2,12 @@
 
 from result import Ok
 
-from chiveworks.base import ZoneName
+from chiveworks.base import Attempt, Epoch, Resources, TaskId, TicketMs, ZoneName
 from chiveworks.catalogue import ZoneState
 from chiveworks.jobs import job_id_of
 from chiveworks.membership import JobState, TaskState
 from chiveworks.scheduler.tests.shard_bench import ShardBench
+from chiveworks.workers import StartOrder
 
 LAITA = ZoneName('laita')
 ISOLE = ZoneName('isole')
@@ -112,3 +113,43 @@
     await bench.drive(parts.scheduler._keeper.stop_task(task, checkpoint=True))
     assert task.state is TaskState.FINISHED
     await bench.stop()
+
+
+async def test_a_task_started_by_hand_counts_before_the_next_start():
+    """Guards against starts beyond a worker's capacity after a manual override.
+
+    The report that came with a start's ticket was not compared with the table, so
+    that an override stayed unknown until the periodic renewal, up to 8 s later.
+    """
+    bench = await _started(worker_count=1)
+    await bench.advance(4)
+    manual = StartOrder(
+        Epoch(0),
+        TicketMs(0),
+        TaskId('manual/0'),
+        Attempt(1),
+        'manual',
+        '{"duration_ms": 20000}',
+        Resources(3000, 1 << 30, 0),
+    )
+    assert bench.workers['laita-w0'].override_start(manual)
+    await bench.advance(0.6)
+    await bench.submit(bench.submission('bill-1', count=4, ms=2000))
+    await bench.advance(3)
+    bench.check_capacity()
+    await bench.stop()
+
+
+async def test_short_tasks_on_an_idle_worker_follow_each_other():
+    """Guards against ends that are noticed only after the idle renewal period.
+
+    24 tasks of 1.5 s that each fill a worker took more than 90 s on two workers.
+    """
+    bench = await _started()
+    await bench.put_entry('large', cpu_millicores=3900, idempotent=True)
+    submission = bench.submission('bill-1', 24, 'large', ms=1500)
+    await bench.submit(submission)
+    await bench.advance(45)
+    job = await bench.job(submission)
+    assert job.state is JobState.FINISHED
+    await bench.stop()
