--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -25,8 +25,6 @@
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
 
-ReportHandler = Callable[['WorkerSession', WorkerReport], None]
-
 
 class WorkerSession:
     """Renews a worker's control lease, sends it commands and keeps its report.
@@ -42,6 +40,7 @@
         clock: Clock,
         timings: SchedulerTimings,
         first_bound: timedelta,
+        on_report: Callable[['WorkerSession', WorkerReport], None],
     ) -> None:
         self.instance = instance
         self.worker = WorkerId(instance.instance_id)
@@ -54,6 +53,7 @@
         self._tenure = tenure
         self._clock = clock
         self._timings = timings
+        self._on_report = on_report
         # Monotonic time after which no lease on this worker can be alive.
         self._lease_end = first_bound
         self._ticket_received = timedelta(0)
@@ -61,7 +61,6 @@
         self._acknowledged: set[tuple[TaskId, Attempt]] = set()
         self._lock = asyncio.Lock()
         self._has_new_work = asyncio.Event()
-        self._on_report: ReportHandler = _ignore
 
     @property
     def is_leased(self) -> bool:
@@ -85,14 +84,6 @@
         """Lets the worker forget an ended attempt with the next renewal."""
         self._acknowledged.add((task_id, attempt))
 
-    def follow(self, on_report: ReportHandler) -> None:
-        """Passes each report on from now on, whichever call fetched it.
-
-        A start is decided on the report that came with its ticket: only that one
-        shows what was changed by hand since the last periodic renewal.
-        """
-        self._on_report = on_report
-
     async def run(
         self,
         on_failure: Callable[['WorkerSession', Failure | Refusal], None],
@@ -115,12 +106,12 @@
             await self._pause(period_of)
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
-        """Renews the control lease and takes over the worker's report."""
+        """Renews the control lease and hands the worker's report on.
+
+        Every report is handed on: it carries measurements that no later one has.
+        """
         async with self._lock:
-            renewed = await self._renew_locked()
-            if isinstance(renewed, Ok):
-                self._on_report(self, renewed.ok_value)
-            return renewed
+            return await self._renew_locked()
 
     async def ready_ticket(self) -> TicketMs | None:
         """Returns a fresh ticket under a live lease, or None without contact."""
@@ -141,7 +132,9 @@
             self._has_new_work.set()
             started = await self._control.start(order)
             if isinstance(started, Ok) or _is_already_started(started.err_value):
-                self.starts[order.task_id].phase = StartPhase.CONFIRMED
+                track = self.starts[order.task_id]
+                track.phase = StartPhase.CONFIRMED
+                track.confirmed = self._clock.monotonic()
                 return Ok(None)
             return started
 
@@ -173,6 +166,11 @@
                 self._tenure.epoch, task_id, attempt, cpu_millicores
             )
 
+    def forget_task(self, task_id: TaskId) -> None:
+        """Drops what is known of a task's start and stop on this worker."""
+        self.starts.pop(task_id, None)
+        self.stops.pop(task_id, None)
+
     def is_stop_due(self, task_id: TaskId) -> bool:
         """Whether a stop was never sent or its confirmation is overdue."""
         sent = self.stops.get(task_id)
@@ -228,10 +226,7 @@
         self.report = report
         self._ticket_received = now
         self._leased_until = now + report.lease_left_ms * _MS
-
-
-def _ignore(_session: WorkerSession, _report: WorkerReport) -> None:
-    """Stands in until somebody follows the reports."""
+        self._on_report(self, report)
 
 
 def _is_already_started(error: Failure | Refusal) -> bool:
