--- /dev/null
+++ b/tests/promises/run.py
@@ -0,0 +1,32 @@
+"""Runs all registered checks."""
+
+import time
+
+from tests.promises import shard_checks
+from tests.promises.check import CHECKS, Check
+from tests.promises.tally import Tally
+
+_MODULES = (shard_checks,)
+#: Seeds of the command per seed of a scenario; the state machines use them all.
+_SEEDS_PER_SCENARIO = 8
+_SEEDS_PER_SLOW_SCENARIO = 25
+
+
+def seeds_of(one: Check, seeds: int) -> range:
+    """Returns the seeds with which a check is run."""
+    share = _SEEDS_PER_SLOW_SCENARIO if one.slow else _SEEDS_PER_SCENARIO
+    return range(max(seeds // share, 1))
+
+
+def run_checks(seeds: int, only: str = '', *, verbose: bool = True) -> Tally:
+    """Runs the checks whose names contain `only`."""
+    tally = Tally()
+    for one in CHECKS:
+        if only not in one.name:
+            continue
+        began = time.monotonic()
+        for seed in seeds_of(one, seeds):
+            one.run(tally, seed)
+        if verbose:
+            print(f'{time.monotonic() - began:6.1f} s  {one.name}', flush=True)
+    return tally
--- /dev/null
+++ b/tests/promises/shard_checks.py
@@ -0,0 +1,495 @@
+"""Deterministic scenarios of a shard for promises 1 to 4."""
+
+import asyncio
+import random
+
+from result import Ok
+
+from chiveworks.base import Attempt, Epoch, Resources, TaskId, TicketMs, WorkerId
+from chiveworks.jobs import job_id_of
+from chiveworks.membership import JobState, JobSubmission
+from chiveworks.scheduler.tests.shard_bench import TASK
+from chiveworks.workers import StartOrder
+from tests.promises import model
+from tests.promises.check import check
+from tests.promises.fault_bench import ISOLE, LAITA, SHORT_OUTAGE, CallSite, FaultBench
+from tests.promises.promise import Promise
+from tests.promises.tally import Tally
+
+_ENTRIES = {
+    'recalculation': {'idempotent': False, 'can_checkpoint': True},
+    'repeatable': {'idempotent': True, 'can_checkpoint': False},
+    'strict': {'idempotent': False, 'can_checkpoint': False},
+}
+#: The steps of a start, in their order: ticket, claim, zone read, command.
+_START_STEPS = (
+    ('renew', ''),
+    ('compare_and_swap', 'journal'),
+    ('fetch', 'config/zones'),
+    ('start', ''),
+)
+
+
+async def started(draw: random.Random, **options: object) -> FaultBench:
+    options = {'timings': SHORT_OUTAGE, 'seed': draw.randrange(1000), **options}
+    bench = FaultBench(**options)
+    await bench.start()
+    for name, fields in _ENTRIES.items():
+        await bench.put_entry(name, **fields)
+    await bench.advance(1 + draw.random())
+    return bench
+
+
+async def finish(
+    bench: FaultBench, tally: Tally, submissions: list[JobSubmission], seconds: int = 90
+) -> None:
+    """Heals all faults; every accepted job must then end as finished."""
+    bench.check_model(tally)
+    bench.heal()
+    await bench.advance(seconds, 0.25)
+    bench.check_model(tally)
+    for submission in submissions:
+        job = await bench.job(submission)
+        tally.operations(len(job.tasks))
+        if job.state is not JobState.FINISHED:
+            tally.violation(f'{submission.key} is {job.state} after {seconds} s')
+    await bench.stop()
+
+
+def site_at(name: str, key: str, *, done: bool, skip: int = 0):
+    """Returns a trap that closes at a call after `skip` others like it."""
+    left = [skip]
+
+    def trap(site: CallSite) -> bool:
+        if site.name != name or key not in site.key or site.done is not done:
+            return False
+        left[0] -= 1
+        return left[0] < 0
+
+    return trap
+
+
+async def until_trapped(bench: FaultBench, process, limit_s: float = 12) -> bool:
+    waited = 0.0
+    while bench.calls_of(process).trapped is None and waited < limit_s:
+        await bench.advance(0.05)
+        waited += 0.05
+    return bench.calls_of(process).trapped is not None
+
+
+async def accept(bench: FaultBench, submission: JobSubmission, zone=LAITA):
+    answer = await bench.submit(submission, zone)
+    assert isinstance(answer, Ok), answer
+    return submission
+
+
+def by_hand(task_id: str, resources: Resources, ms: int, attempt: int = 1):
+    payload = f'{{"duration_ms": {ms}}}'
+    return StartOrder(
+        Epoch(0),
+        TicketMs(0),
+        TaskId(task_id),
+        Attempt(attempt),
+        'by-hand',
+        payload,
+        resources,
+    )
+
+
+@check(Promise.CAPACITY, Promise.ONCE_AT_A_TIME)
+async def two_owners_at_once(tally: Tally, draw: random.Random) -> None:
+    """The owner key is removed by hand while the owner is between two steps."""
+    for name, key in _START_STEPS:
+        for done in (False, True):
+            bench = await started(draw)
+            former = bench.owner()
+            trap = site_at(name, key, done=done)
+            bench.calls_of(former).trap = trap
+            jobs = [bench.submission('bill', 7, ms=draw.choice((500, 3000)))]
+            registered = asyncio.ensure_future(
+                former.local.handler_of(LAITA).register(jobs[0])
+            )
+            await until_trapped(bench, former)
+            read = await bench.outsider.fetch('shards/laita/owner')
+            owner = read.ok_value.first()
+            if owner is not None:
+                await bench.outsider.delete(owner.key, owner.mod_revision)
+            tally.fault('owner key removed by hand')
+            await bench.advance(draw.choice((0.3, 0.8, 1.4)))
+            successor = [one for one in bench.owners_of(LAITA) if one is not former]
+            jobs.append(bench.submission('more', 4, ms=2000))
+            if successor:
+                handler = successor[0].local.handler_of(LAITA)
+                await bench.drive(handler.register(jobs[1]), 5)
+            former.gate.thaw()
+            tally.fault(f'owner frozen at {name}')
+            await bench.advance(5)
+            registered.cancel()
+            stored = [one for one in jobs if await bench.job(one) is not None]
+            tally.operations(len(stored))
+            for one in stored:
+                owners = bench.owners_of(LAITA)
+                handler = owners[0].local.handler_of(LAITA)
+                await bench.drive(handler.register(one), 5)
+            await finish(bench, tally, stored)
+
+
+@check(Promise.CAPACITY)
+async def wrong_declared_sizes(tally: Tally, draw: random.Random) -> None:
+    """Sizes change in the catalogue between submission and start."""
+    bench = await started(draw)
+    jobs = []
+    for number in range(6):
+        size = draw.choice((300, 700, 1300, 2100, 3900))
+        memory = draw.choice((1, 3, 5, 8)) << 30
+        await bench.put_entry(
+            f'odd{number}', cpu_millicores=size, memory_bytes=memory, idempotent=True
+        )
+        tally.fault('odd size')
+        submission = bench.submission(f'odd{number}', 4, f'odd{number}', 1500)
+        jobs.append(await accept(bench, submission))
+    await finish(bench, tally, jobs)
+
+
+@check(Promise.CAPACITY)
+async def unconfirmed_stops_hold_capacity(tally: Tally, draw: random.Random) -> None:
+    """Stops are asked for, but their effect or its confirmation is lost."""
+    bench = await started(draw)
+    owner = bench.owner()
+    first = await accept(bench, bench.submission('cancelled', 8, ms=30_000))
+    await bench.advance(3)
+    for worker in owner.controls:
+        if draw.random() < 0.8:
+            bench.calls_of(owner).late_by['stop'] = draw.choice((5, 9))
+        bench.control(owner, worker).drop_answers = draw.choice((0, 0, 2))
+    tally.fault('stop delayed')
+    second = await accept(bench, bench.submission('waiting', 8, ms=2000))
+    handler = owner.local.handler_of(LAITA)
+    answer = await bench.drive(handler.cancel(job_id_of(first)), 10)
+    assert isinstance(answer, Ok), answer
+    bench.cancelled_ms[job_id_of(first)] = bench.now_ms
+    tally.operations(8)
+    for _ in range(12):
+        await bench.advance(1)
+        bench.check_model(tally)
+    await finish(bench, tally, [second])
+
+
+@check(Promise.CAPACITY, Promise.ONCE_AT_A_TIME)
+async def lost_start_answers(tally: Tally, draw: random.Random) -> None:
+    """Starts take effect but their answers are lost, or arrive late."""
+    for late in (False, True):
+        bench = await started(draw)
+        owner = bench.owner()
+        for worker in owner.controls:
+            if not late:
+                bench.control(owner, worker).drop_answers = draw.choice((1, 2, 5))
+        if late:
+            bench.calls_of(owner).late_by['start'] = draw.choice((0.3, 1.2, 3))
+        tally.fault('start delayed' if late else 'start answer lost')
+        job = bench.submission('bill', 12, ms=draw.choice((900, 5000)))
+        await accept(bench, job)
+        await finish(bench, tally, [job])
+
+
+@check(Promise.CAPACITY, Promise.ONCE_AT_A_TIME)
+async def workers_restart(tally: Tally, draw: random.Random) -> None:
+    """Workers restart, with and without their tasks."""
+    bench = await started(draw)
+    job = await accept(bench, bench.submission('bill', 16, ms=6000))
+    for _ in range(5):
+        await bench.advance(draw.uniform(0.2, 3))
+        worker = draw.choice(sorted(bench.workers))
+        kept = draw.random() < 0.6
+        bench.workers[worker].restart(keep_tasks=kept)
+        tally.fault('restart with tasks' if kept else 'restart without tasks')
+    await finish(bench, tally, [job])
+
+
+@check(Promise.CAPACITY)
+async def changes_by_hand_hold_capacity(tally: Tally, draw: random.Random) -> None:
+    """A task nobody claimed, or a new size, a second before tasks are waiting."""
+    bench = await started(draw, worker_count=1)
+    # The idle worker's periodic report is up to 8 s away.
+    await bench.advance(draw.uniform(0, 8))
+    worker = bench.workers['laita-w0']
+    jobs = []
+    if draw.random() < 0.5:
+        order = by_hand('manual/0', Resources(3000, 1 << 30, 0), 20_000)
+        assert worker.override_start(order)
+        tally.fault('unclaimed task')
+    else:
+        long = await accept(bench, bench.submission('long', 1, ms=30_000))
+        jobs.append(long)
+        await bench.advance(2)
+        assert worker.override_resize(TaskId(f'{job_id_of(long)}/0'), 3000)
+        tally.fault('resize')
+    await bench.advance(draw.uniform(0.6, 1.5))
+    jobs.append(await accept(bench, bench.submission('bill', 4, ms=2000)))
+    await bench.advance(3)
+    bench.check_model(tally)
+    await finish(bench, tally, jobs)
+
+
+@check(Promise.ONCE_AT_A_TIME, Promise.CAPACITY)
+async def partitions_and_outages(tally: Tally, draw: random.Random) -> None:
+    """Owner cut from workers or from the store, past the leases."""
+    bench = await started(draw)
+    job = await accept(bench, bench.submission('bill', 10, ms=15_000))
+    for _ in range(3):
+        await bench.advance(draw.uniform(1, 5))
+        process = draw.choice(bench.processes)
+        if draw.random() < 0.5:
+            process.store.faults.outage = True
+            tally.fault('cut from the store')
+        for worker in process.controls:
+            cut = draw.random() < 0.4
+            bench.control(process, worker).unreachable = cut
+            tally.fault('cut from a worker', int(cut))
+        await bench.advance(draw.choice((3, 10, 18, 45)), 0.25)
+        if draw.random() < 0.5:
+            bench.heal()
+    await finish(bench, tally, [job])
+
+
+@check(Promise.ONCE_AT_A_TIME)
+async def late_renewals_extend_no_lease(tally: Tally, draw: random.Random) -> None:
+    """A renewal arrives just before the lease ends; the worker is then cut off."""
+    bench = await started(draw)
+    job = await accept(bench, bench.submission('bill', 2, 'recalculation', 60_000))
+    await bench.advance(3)
+    owner = bench.owner()
+    busy = sorted(
+        name for name, worker in bench.workers.items() if worker.table.running()
+    )[0]
+    cut_off = bench.control(owner, busy)
+    for process in bench.processes:
+        for worker in process.controls:
+            bench.control(process, worker).unreachable = worker == busy
+    # The last renewal before the cut stays in the network for 12 to 14 s.
+    renewal_delay_s = draw.choice((12, 13.5))
+    await _send_late_renewal(bench, cut_off, owner, renewal_delay_s)
+    tally.fault('renewal delayed')
+    tally.fault('cut from a worker')
+    await bench.advance(35, 0.25)
+    bench.check_model(tally)
+    await finish(bench, tally, [job], 150)
+
+
+async def _send_late_renewal(bench, control, owner, delay_s: float) -> None:
+    session = owner.candidate._parts.scheduler._keeper.sessions[
+        WorkerId(control.worker.spec.worker_id)
+    ]
+    calls = bench.calls_of(owner)
+    control.unreachable = False
+    calls.trap = None
+    reached = asyncio.Event()
+
+    class Late:
+        """Holds the next renewal back, then is cut off."""
+
+        def __getattr__(self, name):
+            return getattr(control, name)
+
+        async def renew(self, renewal):
+            async def deliver():
+                await bench.clock.sleep(_seconds(delay_s))
+                control.worker.renew(renewal)
+
+            self.delivery = asyncio.ensure_future(deliver())
+            control.unreachable = True
+            session._control = control
+            reached.set()
+            return control._refused_connection()
+
+    session._control = Late()
+    while not reached.is_set():
+        await bench.advance(0.05)
+
+
+def _seconds(count: float):
+    from datetime import timedelta
+
+    return timedelta(seconds=count)
+
+
+@check(Promise.ONCE_AT_A_TIME)
+async def leases_lapse_during_a_freeze(tally: Tally, draw: random.Random) -> None:
+    """All processes of the zone are frozen past the workers' leases."""
+    bench = await started(draw)
+    job = await accept(bench, bench.submission('bill', 10, ms=12_000))
+    await bench.advance(draw.uniform(0.3, 4))
+    for _ in range(2):
+        owner = bench.owner()
+        others = [one for one in bench.processes if one is not owner]
+        frozen = [owner, *others] if draw.random() < 0.6 else [owner]
+        for process in frozen:
+            process.gate.freeze()
+            tally.fault('process frozen')
+        await bench.advance(draw.choice((8, 14, 17, 40)), 0.25)
+        for process in frozen:
+            process.gate.thaw()
+            await bench.advance(draw.choice((0, 0.3, 5)))
+        await bench.advance(12, 0.25)
+    await finish(bench, tally, [job])
+
+
+@check(Promise.ONCE_AT_A_TIME, Promise.CAPACITY)
+async def tasks_moved_by_hand(tally: Tally, draw: random.Random) -> None:
+    """A running task is stopped on one worker and started on another by hand."""
+    bench = await started(draw)
+    job = await accept(bench, bench.submission('bill', 2, ms=20_000))
+    await bench.advance(draw.uniform(2, 4))
+    task_id = TaskId(f'{job_id_of(job)}/{draw.randrange(2)}')
+    here, there = sorted(
+        bench.workers.values(),
+        key=lambda one: -sum(run.task_id == task_id for run in one.table.running()),
+    )
+    assert here.override_stop(task_id)
+    await bench.advance(draw.choice((0, 0.5, 3)))
+    attempt = max(number for name, number in here.table.seen if name == task_id)
+    assert there.override_start(by_hand(task_id, TASK, 12_000, attempt))
+    tally.fault('task moved')
+    tally.operations()
+    await bench.advance(25, 0.25)
+    overrides = bench.owner().candidate._parts.service._context.table.overrides
+    kinds = {one.kind.value for one in overrides.values()}
+    if 'moved' not in kinds:
+        tally.violation(f'the move is not listed: {kinds}')
+    await finish(bench, tally, [job])
+
+
+@check(Promise.EVICTION, Promise.ONCE_AT_A_TIME)
+async def owner_crashes_during_an_eviction(tally: Tally, draw: random.Random) -> None:
+    """Crash before and after each of checkpoint, stop, record, move and resume."""
+    sites = [
+        (LAITA, 'stop', ''),
+        (LAITA, 'renew', ''),
+        (LAITA, 'compare_and_swap', 'journal'),
+        (LAITA, 'compare_and_swap', 'jobs/'),
+        (ISOLE, 'compare_and_swap', 'journal'),
+        (ISOLE, 'fetch', 'jobs/'),
+        (ISOLE, 'start', ''),
+    ]
+    for zone, name, key in sites:
+        for done in (False, True):
+            await _crash_at(
+                tally,
+                draw,
+                zone,
+                site_at(name, key, done=done, skip=draw.choice((0, 0, 1, 2))),
+                name,
+            )
+
+
+async def _crash_at(tally, draw, zone, trap, name) -> None:
+    bench = await started(draw, zones=(LAITA, ISOLE))
+    duration_ms = draw.choice((9000, 25_000))
+    job = await accept(bench, bench.submission('bill', 3, ms=duration_ms))
+    await bench.advance(draw.uniform(1, 6))
+    await bench.switch(LAITA, out=True)
+    victim = bench.owner(zone)
+    bench.calls_of(victim).trap = trap
+    if await until_trapped(bench, victim):
+        tally.fault(f'crash at {name}')
+    bench.kill(victim)
+    bench.add_process(zone)
+    if draw.random() < 0.3:
+        await bench.advance(draw.choice((0.5, 4)))
+        await bench.switch(LAITA, out=False)
+        tally.fault('zone back at once')
+    await bench.advance(90, 0.25)
+    for run_time_ms in _run_times(bench).values():
+        tally.operations()
+        # Work since the last checkpoint, at most a lease long, may be repeated.
+        if run_time_ms > duration_ms + 2 * 17_000:
+            tally.violation(f'ran {run_time_ms} ms of {duration_ms} ms')
+    await finish(bench, tally, [job])
+
+
+def _run_times(bench: FaultBench) -> dict[str, float]:
+    spent: dict[str, float] = {}
+    for run in model.runs_of(bench.workers):
+        ended = min(run.ended_ms, bench.now_ms)
+        spent[run.task_id] = spent.get(run.task_id, 0) + ended - run.began_ms
+    return spent
+
+
+@check(Promise.ZONE_OUT)
+async def owner_frozen_between_the_steps_of_a_start(
+    tally: Tally, draw: random.Random
+) -> None:
+    """The zone is taken out while the owner is frozen before or after a step."""
+    for name, key in _START_STEPS:
+        for done in (False, True):
+            bench = await started(draw, zones=(LAITA, ISOLE))
+            owner = bench.owner()
+            skip = 0 if name != 'compare_and_swap' else draw.choice((0, 1))
+            bench.calls_of(owner).trap = site_at(name, key, done=done, skip=skip)
+            job = bench.submission('bill', 5, ms=4000)
+            asyncio.ensure_future(owner.local.handler_of(LAITA).register(job))
+            if await until_trapped(bench, owner, 4):
+                tally.fault(f'frozen at {name}')
+            await bench.advance(draw.choice((0.05, 0.5)))
+            await bench.switch(LAITA, out=True)
+            tally.fault('zone out')
+            await bench.advance(draw.choice((0.5, 1.5, 3.5, 5, 7)))
+            owner.gate.thaw()
+            await bench.advance(draw.choice((4, 6)))
+            tally.operations(5)
+            if draw.random() < 0.5:
+                await bench.switch(LAITA, out=False)
+                tally.fault('zone back')
+            stored = [job] if await bench.job(job) else []
+            bench.check_model(tally)
+            for submission in stored:
+                record = await bench.job(submission)
+                handler = bench.owner(record.home).local.handler_of(record.home)
+                await bench.drive(handler.register(submission), 10)
+            await bench.advance(30, 0.25)
+            await finish(bench, tally, stored)
+
+
+@check(Promise.ZONE_OUT)
+async def zone_out_with_starts_in_flight(tally: Tally, draw: random.Random) -> None:
+    """Start commands are held by the network for up to 8 s."""
+    bench = await started(draw, zones=(LAITA, ISOLE))
+    jobs = []
+    for number in range(4):
+        owner = bench.owner()
+        bench.calls_of(owner).late_by['start'] = draw.choice((0.5, 1.5, 3, 5, 8))
+        tally.fault('start delayed')
+        submission = bench.submission(f'bill{number}', 3, ms=3000)
+        jobs.append(await accept(bench, submission))
+        await bench.advance(draw.uniform(0, 1))
+        await bench.switch(LAITA, out=True)
+        tally.fault('zone out')
+        tally.operations(3)
+        await bench.advance(draw.choice((0.5, 4, 9)))
+        await bench.switch(LAITA, out=False)
+        tally.fault('zone back')
+        await bench.advance(draw.choice((0.1, 2)))
+    await finish(bench, tally, jobs)
+
+
+@check(Promise.ZONE_OUT)
+async def owner_cut_from_the_store_while_its_zone_leaves(
+    tally: Tally, draw: random.Random
+) -> None:
+    """An owner that can't learn of the switch starts nothing."""
+    bench = await started(draw, zones=(LAITA, ISOLE))
+    job = await accept(bench, bench.submission('bill', 20, ms=3000))
+    await bench.advance(draw.uniform(0.2, 3))
+    for process in bench.processes:
+        if process.zone == LAITA and draw.random() < 0.8:
+            process.store.faults.outage = True
+            tally.fault('cut from the store')
+    await bench.advance(draw.choice((0.05, 1, 4)))
+    await bench.switch(LAITA, out=True)
+    tally.fault('zone out')
+    tally.operations(20)
+    await bench.advance(draw.choice((4, 12, 30)), 0.25)
+    bench.check_model(tally)
+    if draw.random() < 0.5:
+        await bench.switch(LAITA, out=False)
+    await finish(bench, tally, [job], 120)
