--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -25,7 +25,8 @@
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
 _RENEWAL_MARGIN = timedelta(milliseconds=500)
-_SHORTEST_PAUSE = timedelta(0)
+#: Bounds the calls to a worker that grants no lease.
+_SHORTEST_PAUSE = timedelta(milliseconds=100)
 
 
 class WorkerSession:
@@ -62,6 +63,7 @@
         self._leased_until = timedelta(0)
         self._acknowledged: set[tuple[TaskId, Attempt]] = set()
         self._lock = asyncio.Lock()
+        self._has_new_work = asyncio.Event()
 
     @property
     def is_leased(self) -> bool:
@@ -104,10 +106,7 @@
             if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
-            pause = period_of(self)
-            if isinstance(renewed, Ok):
-                pause = min(pause, self._longest_pause)
-            await self._clock.sleep(pause)
+            await self._pause(period_of)
 
     @property
     def _longest_pause(self) -> timedelta:
@@ -146,6 +145,7 @@
             self.starts[order.task_id] = StartTrack(
                 order.attempt, StartPhase.SENT, order.ticket
             )
+            self._has_new_work.set()
             started = await self._control.start(order)
             if isinstance(started, Ok) or _is_already_started(started.err_value):
                 track = self.starts[order.task_id]
@@ -194,6 +194,31 @@
             return True
         return self._clock.monotonic() - sent > self._timings.stop_repeat
 
+    async def _pause(self, period_of: Callable[['WorkerSession'], timedelta]) -> None:
+        """Waits for the period, which becomes shorter when a start is sent.
+
+        Otherwise the end of a short task on an idle worker would be noticed only
+        after the period for idle workers.
+        """
+        began = self._clock.monotonic()
+        while True:
+            self._has_new_work.clear()
+            period = period_of(self)
+            if self.is_in_contact:
+                period = min(period, self._longest_pause)
+            left = began + period - self._clock.monotonic()
+            if left <= timedelta(0):
+                return
+            sleeper = asyncio.ensure_future(self._clock.sleep(left))
+            notice = asyncio.ensure_future(self._has_new_work.wait())
+            try:
+                await asyncio.wait(
+                    (sleeper, notice), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                sleeper.cancel()
+                notice.cancel()
+
     async def _renew_locked(self) -> Result[WorkerReport, Failure | Refusal]:
         quoted = self.report.ticket if self.report else _NO_TICKET
         acknowledged = tuple(sorted(self._acknowledged))
