Count starts that measurements do not show yet as load

Cause: usage reports lag by seconds, so placement saw a worker that had just received tasks as idle. Change: tasks confirmed within the last 7 s add their reservation to the load.

--- a/chiveworks/scheduler/_fleet.py
+++ b/chiveworks/scheduler/_fleet.py
@@ -86,11 +86,26 @@
             free=self.free_on(session),
             kinds=dict(kinds),
             service_kinds=services,
-            load=self._load_of(worker),
+            load=self._expected_load(session),
             suspicion=self._quarantine.suspicion(worker),
             quarantined=not self._quarantine.allows(worker),
         )
 
+    def _expected_load(self, session: WorkerSession) -> float:
+        """Returns the measured load plus that of starts not measured yet.
+
+        Measurements lag; without the recent starts, tasks would pile up on the
+        worker that was idle when it was last measured.
+        """
+        table = self._table
+        recent = sum(
+            task.reserved.cpu_millicores
+            for task in table.active_on(session.worker)
+            if session.started_recently(task.task_id)
+        )
+        whole = max(session.instance.capacity.cpu_millicores, 1)
+        return min(self._load_of(session.worker) + recent / whole, 1)
+
     def _held_by_services(self, instance: Instance) -> Resources:
         held = _NOTHING
         for name in instance.services:
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -24,6 +24,8 @@
 _NO_TICKET = TicketMs(0)
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
+#: Lag of workers' usage reports plus a renewal period.
+_MEASUREMENT_LAG = timedelta(seconds=7)
 _RENEWAL_MARGIN = timedelta(milliseconds=500)
 #: Bounds the calls to a worker that grants no lease.
 _SHORTEST_PAUSE = timedelta(milliseconds=100)
@@ -182,6 +184,13 @@
                 self._tenure.epoch, task_id, attempt, cpu_millicores
             )
 
+    def started_recently(self, task_id: TaskId) -> bool:
+        """Tells whether measurements may not show the task yet."""
+        track = self.starts.get(task_id)
+        if track is None or track.confirmed is None:
+            return False
+        return self._clock.monotonic() - track.confirmed < _MEASUREMENT_LAG
+
     def forget_task(self, task_id: TaskId) -> None:
         """Drops what is known of a task's start and stop on this worker."""
         self.starts.pop(task_id, None)
