--- a/benchmarks/bench_control_scale.py
+++ b/benchmarks/bench_control_scale.py
@@ -28,6 +28,7 @@
 import aiohttp
 import numpy as np
 import uvloop
+from result import Ok
 
 from benchmarks.report import describe_machine, write_report
 from benchmarks.tcp_bytes import transport_bytes
@@ -36,6 +37,7 @@
     BootId,
     Epoch,
     EntryId,
+    EntryName,
     JobId,
     ManualClock,
     RackName,
@@ -49,6 +51,7 @@
     WorkerId,
     ZoneName,
 )
+from chiveworks.base._http_answer import HttpAnswer
 from chiveworks.catalogue import (
     CatalogueEditor,
     CatalogueEntry,
@@ -56,7 +59,16 @@
     ConfigItem,
     entry_key,
 )
-from chiveworks.instances import Instance, InstanceRole, InstanceState
+from chiveworks.entry._instance_watcher import InstanceWatcher
+from chiveworks.instances import (
+    Instance,
+    InstanceList,
+    InstanceRole,
+    InstanceSnapshot,
+    InstanceState,
+)
+from chiveworks.instances._http_instance_list import _decode as decode_list
+from chiveworks.instances._http_instance_list import _encode as encode_instance
 from chiveworks.jobs import (
     JobAccepted,
     JobRecord,
@@ -403,14 +415,22 @@
     )
 
 
-def make_instance() -> Instance:
+def make_instance(number: int = 0) -> Instance:
+    """Returns a worker; each zone has as many as a shard of the design size."""
+    zone = ZoneName(f'zone{number // WORKERS_PER_SHARD}')
+    url = f'http://10.0.0.1:8000/w/w{number}'
     return Instance(
-        worker_of(0),
+        f'w{number}',
         InstanceRole.WORKER,
-        ZONE,
-        RackName('r1'),
+        zone if number >= WORKERS_PER_SHARD else ZONE,
+        RackName(f'r{number // 8}'),
         InstanceState.LIVE,
-        capacity=Resources(16_000, 60_000_000_000, 0),
+        control_url=url,
+        serve_url=url,
+        services=(EntryName('compteurs'),),
+        capacity=Resources(16_000, 60_000_000_000, 2),
+        slots=8,
+        connections=64,
     )
 
 
@@ -716,6 +736,49 @@
     ]
 
 
+def measure_instances() -> list[Curve]:
+    """The instance list, which every entry process holds and reads whole."""
+    sizes, decoding, memory, filtering = [], [], [], []
+    for count in (24, 300, 3000, 13_000):
+        instances = [make_instance(number) for number in range(count)]
+        listed = {'revision': 1, 'instances': list(map(encode_instance, instances))}
+        answer = HttpAnswer(200, json.dumps(listed).encode())
+        sizes.append((count, float(len(answer.body))))
+        decoding.append((count, busy_ms(lambda: decode_list(answer))))
+        gc.collect()
+        tracemalloc.start()
+        snapshot = decode_list(answer)
+        memory.append((count, float(tracemalloc.get_traced_memory()[0])))
+        tracemalloc.stop()
+        watcher = watcher_with(snapshot)
+        filtering.append((count, busy_each_us(lambda: watcher.workers_in(ZONE))))
+    return [
+        Curve('entry process', 'instance list, bytes', 'instances', sizes),
+        Curve('entry process', 'decode the list, ms', 'instances', decoding),
+        Curve('entry process', 'instance list in memory, bytes', 'instances', memory),
+        Curve('shard owner', 'workers of its zone, us', 'instances', filtering),
+    ]
+
+
+def watcher_with(snapshot: InstanceSnapshot) -> InstanceWatcher:
+    """Returns a watcher that has received a list."""
+
+    class OneList:
+        async def poll(self, _revision, _wait):
+            return Ok(snapshot)
+
+    class StoppedError(Exception):
+        """Ends the watcher's loop."""
+
+    async def stop(_snapshot: InstanceSnapshot) -> None:
+        raise StoppedError
+
+    watcher = InstanceWatcher(cast(InstanceList, OneList()), SystemClock(), stop)
+    with suppress(StoppedError):
+        watcher.run().send(None)
+    return watcher
+
+
 def print_table(curves: Iterable[Curve]) -> None:
     print(f'{"role":15} {"cost":32} {"size":19} {"slope":>10} {"base":>10} {"exp":>5}')
     for curve in curves:
@@ -739,6 +802,7 @@
         *store_curves,
         *await measure_renewals(),
         *await measure_replica(),
+        *measure_instances(),
     ]
     return SimpleNamespace(curves=curves, cases=cases)
 
