Group the instance list by zone when it arrives

Cause: the owner asked for its zone's workers eight times a second, and each time the instances of all zones were looked through. Change: the watcher groups the workers by zone once for each answer.

--- a/chiveworks/entry/_instance_watcher.py
+++ b/chiveworks/entry/_instance_watcher.py
@@ -1,6 +1,7 @@
 """This process's copy of the platform's instance list."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -33,14 +34,13 @@
         self._clock = clock
         self._on_change = on_change
         self._snapshot = InstanceSnapshot(_NEVER, ())
+        # Grouped once per answer: the scheduler asks eight times a second, and
+        # the list has all zones' instances.
+        self._workers: dict[ZoneName, tuple[Instance, ...]] = {}
 
     def workers_in(self, zone: ZoneName) -> tuple[Instance, ...]:
         """Returns the listed workers of a zone, leaving ones included."""
-        return tuple(
-            instance
-            for instance in self._snapshot.instances
-            if instance.zone == zone and instance.role is InstanceRole.WORKER
-        )
+        return self._workers.get(zone, ())
 
     async def run(self) -> None:
         """Polls until cancelled."""
@@ -51,4 +51,15 @@
                 await self._clock.sleep(_RETRY)
             elif polled.ok_value is not None:
                 self._snapshot = polled.ok_value
+                self._workers = _workers_by_zone(polled.ok_value)
                 await self._on_change(self._snapshot)
+
+
+def _workers_by_zone(
+    snapshot: InstanceSnapshot,
+) -> dict[ZoneName, tuple[Instance, ...]]:
+    found: dict[ZoneName, list[Instance]] = defaultdict(list)
+    for instance in snapshot.instances:
+        if instance.role is InstanceRole.WORKER:
+            found[instance.zone].append(instance)
+    return {zone: tuple(workers) for zone, workers in found.items()}
