--- a/benchmarks/bench_scale.py
+++ b/benchmarks/bench_scale.py
@@ -15,8 +15,8 @@
 from pathlib import Path
 from typing import TypeVar
 
-import matplotlib as mpl
 import numpy as np
+from matplotlib.figure import Figure
 
 from chiveworks.base import (
     ManualClock,
@@ -39,9 +39,6 @@
     TaskQueue,
 )
 
-mpl.use('Agg')
-from matplotlib import pyplot as plt  # noqa: E402
-
 RESULTS = Path(__file__).parent / 'results'
 GIB = 2**30
 KINDS = tuple(f'kind-{number}' for number in range(12))
@@ -52,6 +49,8 @@
 QUEUED = (1000, 6400, 27000, 90000, 273000)
 #: Tasks for each worker at the design size, 273,000 on 13,000.
 _TASKS_PER_WORKER = 21
+#: Tasks that do not fit any more are left out.
+_TASKS_WHEN_FULL = 26
 _DECISIONS = 1500
 _REPEATS = 3
 _Subject = TypeVar('_Subject')
@@ -210,7 +209,8 @@
 
 def plot(name: str, points: Sequence[Point], target: Path) -> None:
     """Draws time and memory on logarithmic axes."""
-    figure, axes = plt.subplots(1, 2, figsize=(9, 3.5))
+    figure = Figure(figsize=(9, 3.5))
+    axes = figure.subplots(1, 2)
     sizes = [point.size for point in points]
     for axis, cost in zip(axes, ('operation_us', 'memory_bytes'), strict=True):
         axis.loglog(sizes, [getattr(point, cost) for point in points], marker='o')
@@ -220,7 +220,6 @@
         axis.grid(visible=True, which='both', alpha=0.3)
     figure.tight_layout()
     figure.savefig(target)
-    plt.close(figure)
 
 
 def sweeps() -> dict[str, list[Point]]:
@@ -238,6 +237,14 @@
     full = replace(by_workers[-1], size=WORKERS[-1] * _TASKS_PER_WORKER)
     return {
         'workers': by_workers,
+        'workers_nearly_full': [
+            measure(
+                size,
+                lambda: Fleet(size, size * _TASKS_WHEN_FULL),
+                lambda fleet: decide(fleet, policy),
+            )
+            for size in WORKERS[:4]
+        ],
         'workers_first_fit': [
             measure(
                 size,
--- a/chiveworks/membership/__init__.py
+++ b/chiveworks/membership/__init__.py
@@ -1,7 +1,6 @@
 """Communication between entry processes, and the spreading of configuration."""
 
 from chiveworks.membership._config_follower import ConfigFollower
-from chiveworks.membership._config_item import ConfigItem
 from chiveworks.membership._config_page import ConfigPage
 from chiveworks.membership._config_push import ConfigPush
 from chiveworks.membership._config_replica import ConfigReplica
@@ -11,6 +10,7 @@
 from chiveworks.membership._exchange_reply import ExchangeReply
 from chiveworks.membership._exchange_request import ExchangeRequest
 from chiveworks.membership._failure_reason import FailureReason
+from chiveworks.membership._job_count import JobCount
 from chiveworks.membership._job_registration import JobRegistration
 from chiveworks.membership._job_state import JobState
 from chiveworks.membership._job_submission import JobSubmission
@@ -39,7 +39,6 @@
 
 __all__ = (
     'ConfigFollower',
-    'ConfigItem',
     'ConfigPage',
     'ConfigPush',
     'ConfigReplica',
@@ -49,6 +48,7 @@
     'ExchangeReply',
     'ExchangeRequest',
     'FailureReason',
+    'JobCount',
     'JobRegistration',
     'JobState',
     'JobSubmission',
--- a/chiveworks/scheduler/_job_closer.py
+++ b/chiveworks/scheduler/_job_closer.py
@@ -31,6 +31,10 @@
 _RETRY = timedelta(seconds=2)
 #: Time for which the result of an ended job can be fetched at least.
 _RETENTION = timedelta(days=7)
+#: Time from acceptance in which a job whose outcome is unknown stays listed.
+#: Without it the shard dropped such a job before an operator could see it.
+_UNKNOWN_KEPT = timedelta(days=7)
+_KEPT_CHECK = timedelta(hours=1)
 
 
 class JobCloser:
@@ -90,7 +94,7 @@
             job = self._context.table.jobs[job_id]
             needed = job.spec.resources
             if needed not in fitting:
-                fitting[needed] = self._fleet.fits_empty(needed, instances)
+                fitting[needed] = self._fleet.fits_empty(needed)
             if not fitting[needed] and self._is_overdue(job):
                 reason = f'no worker in zone {job.home} can hold {needed}'
                 self._context.ledger.commit(JobUnschedulable(job_id, reason))
@@ -126,10 +130,16 @@
         await asyncio.shield(self._context.ledger.barrier())
         while not await self._write_end(job):
             await self._context.clock.sleep(_RETRY)
+        while self._is_kept(job):
+            await self._context.clock.sleep(_KEPT_CHECK)
         await self._context.ledger.commit(JobDropped(job.job_id))
         self._closing.discard(job.job_id)
         _LOG.info('job ended', extra={'job': job.job_id, 'zone': job.home})
 
+    def _is_kept(self, job: JobRecord) -> bool:
+        age = self._context.clock.now() - job.accepted_at
+        return job.state is JobState.OUTCOME_UNKNOWN and age < _UNKNOWN_KEPT
+
     async def _write_end(self, job: JobRecord) -> bool:
         fetched = await self._context.job_store.fetch(job.job_id)
         if isinstance(fetched, Err):
--- a/chiveworks/scheduler/_session_keeper.py
+++ b/chiveworks/scheduler/_session_keeper.py
@@ -9,8 +9,8 @@
 
 from chiveworks.base import Attempt, Failure, TaskId, WorkerId
 from chiveworks.instances import Instance
-from chiveworks.jobs import TaskRecord
-from chiveworks.membership import TaskState
+from chiveworks.jobs import OverrideClosed, TaskRecord
+from chiveworks.membership import OverrideKind, TaskState
 from chiveworks.scheduler import _attempt_end as attempt_end
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._reconcile import Reconciler
@@ -22,6 +22,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+ReportHandler = Callable[[WorkerSession, WorkerReport], None]
+SessionFactory = Callable[[Instance, ReportHandler], WorkerSession]
+
 
 class SessionKeeper:
     """Opens a session for each worker and turns reports into changes."""
@@ -31,7 +34,7 @@
         context: ShardContext,
         reconciler: Reconciler,
         background: Background,
-        open_session: Callable[[Instance], WorkerSession],
+        open_session: SessionFactory,
         list_workers: Callable[[], tuple[Instance, ...]],
         has_waiting_work: Callable[[], bool],
     ) -> None:
@@ -70,11 +73,11 @@
             if worker in self.sessions:
                 self.sessions[worker].instance = instance
             else:
-                self._add(self._open_session(instance))
+                self._add(self._open_session(instance, self._on_report))
         for worker in self.sessions.keys() - listed.keys() - in_use:
             self.sessions.pop(worker)
             self._running.pop(worker).cancel()
-        self._end_tasks_of_unlisted(in_use - self.sessions.keys())
+        self._settle_unlisted(in_use - self.sessions.keys())
 
     async def stop_task(self, task: TaskRecord, *, checkpoint: bool) -> None:
         """Asks a task's worker to stop it, unless it was asked just now."""
@@ -90,9 +93,7 @@
             _check_epoch(stopped.err_value)
             return
         # The report that confirms the end is fetched at once.
-        renewed = await session.renew()
-        if isinstance(renewed, Ok):
-            self._on_report(session, renewed.ok_value)
+        await session.renew()
 
     async def throttle_task(self, task: TaskRecord, share: float) -> bool:
         """Limits a task's processors; returns whether the worker did so."""
@@ -105,7 +106,7 @@
     def _add(self, session: WorkerSession) -> None:
         self.sessions[session.worker] = session
         self._running[session.worker] = self._background.start(
-            session.run(self._on_report, self._on_failure, self._period_of)
+            session.run(self._on_failure, self._period_of)
         )
 
     def _period_of(self, session: WorkerSession) -> timedelta:
@@ -125,8 +126,7 @@
             report, session.starts, self._context.clock.now()
         )
         for task_id in outcome.gone:
-            session.starts.pop(task_id, None)
-            session.stops.pop(task_id, None)
+            session.forget_task(task_id)
         for task_id, attempt in outcome.stale:
             self._background.start(_stop_stale(session, task_id, attempt))
         if outcome.changes or outcome.acknowledge:
@@ -148,18 +148,26 @@
             reason = f'worker {session.worker} is silent and its lease lapsed'
             self._lose_tasks(session.worker, reason)
 
-    def _end_tasks_of_unlisted(self, workers: set[WorkerId]) -> None:
-        """Ends tasks of workers that vanished before this owner met them."""
+    def _settle_unlisted(self, workers: set[WorkerId]) -> None:
+        """Ends tasks and overrides of workers that vanished for good."""
         timings = self._context.timings
         bound = self._context.tenure.started + timings.first_lease_bound
-        if self._context.clock.monotonic() > bound:
-            for worker in workers:
-                self._lose_tasks(worker, f'worker {worker} is no longer listed')
+        if self._context.clock.monotonic() <= bound:
+            return
+        for worker in workers:
+            self._lose_tasks(worker, f'worker {worker} is no longer listed')
+        for override in tuple(self._context.table.overrides.values()):
+            is_unclaimed = override.kind is OverrideKind.UNCLAIMED
+            if is_unclaimed and override.worker not in self.sessions:
+                self._context.ledger.commit(OverrideClosed(override.override_id))
 
     def _lose_tasks(self, worker: WorkerId, reason: str) -> None:
         for task in self._context.table.active_on(worker):
             job = self._context.table.job_of(task.task_id)
             self._context.ledger.commit(attempt_end.lost(job, task, reason))
+            if worker in self.sessions:
+                # An unsettled start would keep the worker from further ones.
+                self.sessions[worker].forget_task(task.task_id)
             _LOG.warning(reason, extra={'job': job.job_id, 'peer': worker})
 
     async def _acknowledge(
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -17,7 +17,7 @@
 from chiveworks.scheduler._quotas import Quotas
 from chiveworks.scheduler._reconcile import Reconciler
 from chiveworks.scheduler._service_protection import ServiceProtection
-from chiveworks.scheduler._session_keeper import SessionKeeper
+from chiveworks.scheduler._session_keeper import ReportHandler, SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_environment import ShardEnvironment
 from chiveworks.scheduler._shard_scheduler import ShardScheduler
@@ -61,18 +61,20 @@
     quarantine = Quarantine(environment.clock, len(environment.list_workers()))
     order = queue_orders.create(environment.queue_order)
     task_queue = TaskQueue(order)
-    queue = WorkQueue(task_queue, table, environment.clock)
-    queue.load()
     fleet = Fleet(
         table,
         environment.replica,
         quarantine,
         environment.random,
         environment.load_of,
+        environment.sizes,
+        environment.list_workers,
     )
+    queue = WorkQueue(task_queue, table, environment.clock, fleet.size_of)
+    queue.load()
     timings = environment.timings
 
-    def open_session(instance: Instance) -> WorkerSession:
+    def open_session(instance: Instance, on_report: ReportHandler) -> WorkerSession:
         return WorkerSession(
             instance,
             environment.connect_worker(instance),
@@ -80,6 +82,7 @@
             environment.clock,
             timings,
             tenure.started + _longest_former_lease(tenure, timings),
+            on_report,
         )
 
     keeper = SessionKeeper(
@@ -119,7 +122,7 @@
     service = ShardService(
         context,
         JobRegistrar(context, scheduler.stop_job),
-        OverrideResolver(context, environment.editor, keeper.sessions),
+        OverrideResolver(context, environment.editor, fleet, keeper.sessions),
         quarantine,
         keeper.workers,
     )
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -1,11 +1,20 @@
 """Scheduling of one shard during one tenure."""
 
+import logging
+
 from chiveworks.instances import InstanceState
-from chiveworks.jobs import JobRecord, OwnerReleased, TaskEnded, TaskRecord
+from chiveworks.jobs import (
+    JobRecord,
+    OverrideClosed,
+    OwnerReleased,
+    TaskEnded,
+    TaskRecord,
+)
 from chiveworks.membership import TaskState
 from chiveworks.placement import Quarantine
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._job_closer import JobCloser
+from chiveworks.scheduler._override_sweep import ceased_overrides
 from chiveworks.scheduler._quotas import Quotas
 from chiveworks.scheduler._session_keeper import SessionKeeper
 from chiveworks.scheduler._shard_context import ShardContext
@@ -13,6 +22,8 @@
 from chiveworks.scheduler._work_queue import WorkQueue
 from chiveworks.scheduler._zone_departure import ZoneDeparture
 
+_LOG = logging.getLogger(__name__)
+
 
 class ShardScheduler:
     """Runs the rounds of starts and the departure of the zone."""
@@ -79,6 +90,7 @@
     async def _run_rounds(self) -> None:
         while True:
             self._keeper.update()
+            self._close_ceased_overrides()
             self._quarantine.resize(len(self._keeper.sessions))
             self._quotas.refresh()
             self._closer.refuse_oversized()
@@ -98,6 +110,11 @@
             if table.job_of(task.task_id).spec.resumable
         )
 
+    def _close_ceased_overrides(self) -> None:
+        for override_id in ceased_overrides(self._context.table):
+            _LOG.info('override %s has ceased to exist', override_id)
+            self._context.ledger.commit(OverrideClosed(override_id))
+
     async def _run_departure(self) -> None:
         while True:
             evicted = (*self._departure.tasks_to_evict(), *self._on_leaving_workers())
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -24,6 +24,9 @@
 _NO_TICKET = TicketMs(0)
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
+_RENEWAL_MARGIN = timedelta(milliseconds=500)
+#: Bounds the calls to a worker that grants no lease.
+_SHORTEST_PAUSE = timedelta(milliseconds=100)
 
 
 class WorkerSession:
@@ -40,6 +43,7 @@
         clock: Clock,
         timings: SchedulerTimings,
         first_bound: timedelta,
+        on_report: Callable[['WorkerSession', WorkerReport], None],
     ) -> None:
         self.instance = instance
         self.worker = WorkerId(instance.instance_id)
@@ -52,12 +56,14 @@
         self._tenure = tenure
         self._clock = clock
         self._timings = timings
+        self._on_report = on_report
         # Monotonic time after which no lease on this worker can be alive.
         self._lease_end = first_bound
         self._ticket_received = timedelta(0)
         self._leased_until = timedelta(0)
         self._acknowledged: set[tuple[TaskId, Attempt]] = set()
         self._lock = asyncio.Lock()
+        self._has_new_work = asyncio.Event()
 
     @property
     def is_leased(self) -> bool:
@@ -83,14 +89,12 @@
 
     async def run(
         self,
-        on_report: Callable[['WorkerSession', WorkerReport], None],
         on_failure: Callable[['WorkerSession', Failure | Refusal], None],
         period_of: Callable[['WorkerSession'], timedelta],
     ) -> None:
         """Renews the lease periodically; never ends by itself.
 
         Args:
-            on_report: Receives each report.
             on_failure: Receives the error of each renewal that failed.
             period_of: Returns the time until the next renewal.
         """
@@ -99,15 +103,29 @@
             # may have been paused, and the worker may have news.
             self.attempted_after_lapse = self._clock.monotonic() > self._lease_end
             renewed = await self.renew()
-            if isinstance(renewed, Ok):
-                on_report(self, renewed.ok_value)
-            else:
+            if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
             self.is_in_contact = isinstance(renewed, Ok)
-            await self._clock.sleep(period_of(self))
+            await self._pause(period_of)
+
+    @property
+    def _longest_pause(self) -> timedelta:
+        """Time until the next renewal has to be sent to keep the lease alive.
+
+        A renewal quotes the ticket of the one before. With a lease of 15 s and
+        renewals every 8 s the lease of an idle worker lapsed 1 s before each
+        renewal, and a task started there by hand was stopped unnoticed.
+        """
+        left = self._leased_until - self._clock.monotonic()
+        return max(left - _RENEWAL_MARGIN, _SHORTEST_PAUSE)
 
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
-        """Renews the control lease and takes over the worker's report."""
+        """Renews the control lease and hands the worker's report on.
+
+        Every report is handed on, also one fetched for its ticket: it may show a
+        manual override, which must count before the ticket is used, and it carries
+        measurements that no later one has.
+        """
         async with self._lock:
             return await self._renew_locked()
 
@@ -127,6 +145,7 @@
             self.starts[order.task_id] = StartTrack(
                 order.attempt, StartPhase.SENT, order.ticket
             )
+            self._has_new_work.set()
             started = await self._control.start(order)
             if isinstance(started, Ok) or _is_already_started(started.err_value):
                 track = self.starts[order.task_id]
@@ -163,6 +182,11 @@
                 self._tenure.epoch, task_id, attempt, cpu_millicores
             )
 
+    def forget_task(self, task_id: TaskId) -> None:
+        """Drops what is known of a task's start and stop on this worker."""
+        self.starts.pop(task_id, None)
+        self.stops.pop(task_id, None)
+
     def is_stop_due(self, task_id: TaskId) -> bool:
         """Whether a stop was never sent or its confirmation is overdue."""
         sent = self.stops.get(task_id)
@@ -170,6 +194,31 @@
             return True
         return self._clock.monotonic() - sent > self._timings.stop_repeat
 
+    async def _pause(self, period_of: Callable[['WorkerSession'], timedelta]) -> None:
+        """Waits for the period, which becomes shorter when a start is sent.
+
+        Otherwise the end of a short task on an idle worker would be noticed only
+        after the period for idle workers.
+        """
+        began = self._clock.monotonic()
+        while True:
+            self._has_new_work.clear()
+            period = period_of(self)
+            if self.is_in_contact:
+                period = min(period, self._longest_pause)
+            left = began + period - self._clock.monotonic()
+            if left <= timedelta(0):
+                return
+            sleeper = asyncio.ensure_future(self._clock.sleep(left))
+            notice = asyncio.ensure_future(self._has_new_work.wait())
+            try:
+                await asyncio.wait(
+                    (sleeper, notice), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                sleeper.cancel()
+                notice.cancel()
+
     async def _renew_locked(self) -> Result[WorkerReport, Failure | Refusal]:
         quoted = self.report.ticket if self.report else _NO_TICKET
         acknowledged = tuple(sorted(self._acknowledged))
@@ -196,6 +245,7 @@
         self.report = report
         self._ticket_received = now
         self._leased_until = now + report.lease_left_ms * _MS
+        self._on_report(self, report)
 
 
 def _is_already_started(error: Failure | Refusal) -> bool:
--- a/chiveworks/settings/_settings.py
+++ b/chiveworks/settings/_settings.py
@@ -19,6 +19,8 @@
 _URL_PATTERN = r'^https?://[^/\s]+'
 
 _Url = Annotated[str, Field(pattern=_URL_PATTERN)]
+#: Time from the end of the shard's lease to the successor's renewals.
+_TAKE_OVER_MS = 4000
 _Milliseconds = Annotated[int, Field(gt=0)]
 
 
@@ -35,11 +37,11 @@
     instances_url: _Url
     zones: tuple[ZoneLatency, ...] = ()
     register_instance: bool = True
-    worker_lease_ms: _Milliseconds = 15_000
+    worker_lease_ms: _Milliseconds = 20_000
     worker_renew_ms: _Milliseconds = 4000
     idle_worker_renew_ms: _Milliseconds = 8000
-    shard_lease_ms: _Milliseconds = 9000
-    shard_renew_ms: _Milliseconds = 3000
+    shard_lease_ms: _Milliseconds = 6000
+    shard_renew_ms: _Milliseconds = 2000
     commit_tick_ms: _Milliseconds = 250
     store_outage_tolerance_ms: _Milliseconds = 900_000
     # A start may take effect this long after its zone was read as in service;
@@ -75,6 +77,12 @@
         self._check_below('idle_worker_renew_ms', 'worker_lease_ms', worker)
         self._check_below('shard_renew_ms', 'shard_lease_ms', shard)
         self._check_below('commit_tick_ms', 'ticket_max_age_ms', self.ticket_max_age_ms)
+        # Otherwise the workers' leases lapse before a successor renews them.
+        self._check_below(
+            'shard_lease_ms',
+            'worker_lease_ms - 2 * worker_renew_ms - 4000',
+            worker - 2 * self.worker_renew_ms - _TAKE_OVER_MS,
+        )
         # One renewal that times out must not cost the shard.
         self._check_below(
             'store_timeout_ms',
