--- a/chiveworks/entry/_mesh.py
+++ b/chiveworks/entry/_mesh.py
@@ -50,7 +50,11 @@
 async def open_mesh(
     settings: Settings, platform: Platform, clock: Clock, stack: AsyncExitStack
 ) -> Mesh:
-    """Starts the gRPC server and the pool of peers; `stack` stops them."""
+    """Starts the gRPC server and the pool of peers; `stack` stops them.
+
+    Raises:
+        OSError: The address for peers cannot be bound.
+    """
     address = f'{settings.peer.host}:{settings.peer.port}'
     own = Peer(settings.entry_id, settings.zone, address)
     directory = PeerDirectory(own)
@@ -60,7 +64,11 @@
     sync = ConfigSync(platform.replica)
     exchange = PeerExchange(own, sync, directory, owners, pool, clock)
     server = PeerServer(address, exchange, local, owners)
-    await stack.enter_async_context(server)
+    try:
+        await stack.enter_async_context(server)
+    except RuntimeError as error:
+        # The way in which grpc reports an address that cannot be bound.
+        raise OSError(f'cannot listen for peers on {address}') from error
     follower = ConfigFollower(
         exchange,
         ConfigSource(platform.store, sync, clock),
