--- a/chiveworks/cli/_printer.py
+++ b/chiveworks/cli/_printer.py
@@ -56,7 +56,11 @@
         """Writes what happened and what to do next to the error stream."""
         self.error(str(failure))
         if failure.next_step:
-            self._error_line(f'next step: {failure.next_step}')
+            self.next_step(failure.next_step)
+
+    def next_step(self, text: str) -> None:
+        """Writes what to do next to the error stream."""
+        self._error_line(f'next step: {text}')
 
     def error(self, text: str) -> None:
         """Writes an error message."""
--- a/chiveworks/scheduler/_override_records.py
+++ b/chiveworks/scheduler/_override_records.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 
 from chiveworks.base import EntryName, Resources, WorkerId
-from chiveworks.jobs import OverrideRecord, TaskRecord, TaskSpec
+from chiveworks.jobs import JobRecord, OverrideRecord, TaskRecord
 from chiveworks.membership import OverrideKind
 from chiveworks.workers import TaskReport
 
@@ -18,7 +18,7 @@
     kind: OverrideKind,
     worker: WorkerId,
     report: TaskReport,
-    spec: TaskSpec | None,
+    job: JobRecord | None,
     since: datetime,
 ) -> OverrideRecord:
     """Returns the record of an override.
@@ -27,21 +27,21 @@
         kind: What was changed.
         worker: Worker that reported it.
         report: The report.
-        spec: Properties of the task; None when nobody claimed it.
+        job: Job of the task; None when it belongs to none of this zone.
         since: Time at which it was first noticed, in UTC.
     """
+    detail = _DETAILS[kind].format(worker=worker, allotted=_describe(report.allotted))
     return OverrideRecord(
         override_id=override_id_of(kind, report),
         kind=kind,
         worker=worker,
         task_id=report.task_id,
         attempt=report.attempt,
-        entry=spec.entry if spec else EntryName(''),
-        owner=spec.owner if spec else '',
+        entry=job.spec.entry if job else EntryName(''),
+        owner=job.spec.owner if job else '',
         since=since,
-        detail=_DETAILS[kind].format(
-            worker=worker, allotted=_describe(report.allotted)
-        ),
+        # Commands name a job by its key; the task's id holds only a digest of it.
+        detail=f'{detail}; job {job.key}' if job else detail,
         allotted=report.allotted,
     )
 
--- a/chiveworks/scheduler/_reconcile.py
+++ b/chiveworks/scheduler/_reconcile.py
@@ -108,7 +108,7 @@
         outcome.changes.append(ended)
         if ended.state is TaskState.HELD:
             override = note_override(
-                OverrideKind.STOPPED, report.worker, task_report, job.spec, now
+                OverrideKind.STOPPED, report.worker, task_report, job, now
             )
             outcome.changes.append(OverrideNoted(override))
         outcome.acknowledge.append((task.task_id, task.attempt))
@@ -139,15 +139,15 @@
     ) -> None:
         """Reserves what the worker holds; the declared size is no override."""
         kind = OverrideKind.RESIZED
-        spec = self._table.job_of(task.task_id).spec
+        job = self._table.job_of(task.task_id)
         outcome.changes.append(TaskResized(task.task_id, task_report.allotted))
-        if task_report.allotted == spec.resources:
+        if task_report.allotted == job.spec.resources:
             override_id = override_id_of(kind, task_report)
             if override_id in self._table.overrides:
                 outcome.changes.append(OverrideClosed(override_id))
             return
         since = self._since(kind, task_report, now)
-        override = note_override(kind, report.worker, task_report, spec, since)
+        override = note_override(kind, report.worker, task_report, job, since)
         outcome.changes.append(OverrideNoted(override))
 
     def _since(
@@ -192,11 +192,11 @@
             # Moved already, and the former worker still runs it: one copy only.
             outcome.stale.append((task.task_id, task.attempt))
             return
-        spec = self._table.job_of(task.task_id).spec
+        job = self._table.job_of(task.task_id)
         # A move whose stop was noticed first began with that stop.
         since = self._since(OverrideKind.STOPPED, task_report, now)
         override = note_override(
-            OverrideKind.MOVED, report.worker, task_report, spec, since
+            OverrideKind.MOVED, report.worker, task_report, job, since
         )
         stopped_id = override_id_of(OverrideKind.STOPPED, task_report)
         if stopped_id in self._table.overrides:
--- a/chiveworks/scheduler/tests/test_overrides.py
+++ b/chiveworks/scheduler/tests/test_overrides.py
@@ -153,7 +153,7 @@
     assert (override.worker, override.zone) == (worker, LAITA)
     assert override.task_id == night.task.task_id
     assert (override.entry, override.owner) == ('recalculation', 'billing')
-    assert override.detail
+    assert override.detail.endswith('; job bill-1')
 
 
 @pytest.mark.parametrize('action', [ADOPT, REVERT])
