--- a/benchmarks/bench_control_scale.py
+++ b/benchmarks/bench_control_scale.py
@@ -57,6 +57,7 @@
     CatalogueEntry,
     CatalogueReplica,
     ConfigItem,
+    Priority,
     entry_key,
 )
 from chiveworks.entry._instance_watcher import InstanceWatcher
@@ -80,11 +81,13 @@
     TaskTable,
     decode_change,
     encode_change,
+    job_id_of,
     task_id_of,
 )
 from chiveworks.journal import Journal
 from chiveworks.membership import ShardClient, TaskState
 from chiveworks.placement import Quarantine, SizeEstimator
+from chiveworks.routing import EndpointTable, RoutingSettings
 from chiveworks.scheduler import Ledger, Reconciler, SchedulerTimings, Tenure
 from chiveworks.scheduler._background import Background
 from chiveworks.scheduler._fleet import Fleet
@@ -550,6 +553,40 @@
     return rates
 
 
+async def measure_start_delay() -> Curve:
+    """Time from an urgent job's submission to its start, with room left."""
+    points = []
+    for starts_per_s in (0, 22):
+        bench = CountingBench((ZONE,), max(2 * starts_per_s, 4), 1)
+        await bench.start()
+        await bench.put_entry(idempotent=True)
+        await bench.put_entry('alert', idempotent=True, priority=Priority.URGENT)
+        await bench.advance(5)
+        handler = bench.owners_of(ZONE)[0].local.handler_of(ZONE)
+        calls, submitted = [], {}
+        for number in range(80):
+            if starts_per_s:
+                load = bench.submission(f'load-{number}', starts_per_s // 4)
+                calls.append(asyncio.ensure_future(handler.register(load)))
+            if number % 4 == 0:
+                urgent = bench.submission(f'alert-{number}', entry='alert')
+                submitted[job_id_of(urgent)] = bench.clock.monotonic()
+                calls.append(asyncio.ensure_future(handler.register(urgent)))
+            await bench.advance(0.25)
+        await bench.advance(5)
+        runs = bench.runs()
+        delays = [
+            runs[task_id_of(job_id, 0)][0][0] - at.total_seconds() * 1000
+            for job_id, at in submitted.items()
+        ]
+        points.append((starts_per_s, float(max(delays))))
+        for process in bench.processes:
+            process.task.cancel()
+        await bench.advance(10)
+        await asyncio.gather(*calls, return_exceptions=True)
+    return Curve('shard owner', 'urgent start at worst, ms', 'starts a second', points)
+
+
 def total_calls(rates: dict[str, float], *, jobs: bool = False) -> float:
     return sum(
         rate
@@ -749,6 +786,7 @@
 def measure_instances() -> list[Curve]:
     """The instance list, which every entry process holds and reads whole."""
     sizes, decoding, memory, filtering = [], [], [], []
+    endpoints, updating = [], []
     for count in (24, 300, 3000, 13_000):
         instances = [make_instance(number) for number in range(count)]
         listed = {'revision': 1, 'instances': list(map(encode_instance, instances))}
@@ -761,15 +799,29 @@
         memory.append((count, float(tracemalloc.get_traced_memory()[0])))
         tracemalloc.stop()
         watcher = watcher_with(snapshot)
+        gc.collect()
+        tracemalloc.start()
+        table = make_endpoints(snapshot)
+        endpoints.append((count, float(tracemalloc.get_traced_memory()[0])))
+        tracemalloc.stop()
+        updating.append((count, busy_ms(lambda: table.update(snapshot))))
         filtering.append((count, busy_each_us(lambda: watcher.workers_in(ZONE))))
     return [
         Curve('entry process', 'instance list, bytes', 'instances', sizes),
         Curve('entry process', 'decode the list, ms', 'instances', decoding),
         Curve('entry process', 'instance list in memory, bytes', 'instances', memory),
+        Curve('entry process', 'endpoint table, bytes', 'instances', endpoints),
+        Curve('entry process', 'take a list over, ms', 'instances', updating),
         Curve('shard owner', 'workers of its zone, us', 'instances', filtering),
     ]
 
 
+def make_endpoints(snapshot: InstanceSnapshot) -> EndpointTable:
+    table = EndpointTable(SystemClock(), RoutingSettings(), lambda zone: True)
+    table.update(snapshot)
+    return table
+
+
 def watcher_with(snapshot: InstanceSnapshot) -> InstanceWatcher:
     """Returns a watcher that has received a list."""
 
@@ -810,6 +862,7 @@
         *measure_reconciliation(),
         *measure_rounds(),
         *store_curves,
+        await measure_start_delay(),
         *await measure_renewals(),
         *await measure_replica(),
         *measure_instances(),
