Evict from all workers at once

Cause: a departure stopped tasks one after another over all workers, two calls each, so its time grew with the tasks of the shard, and a silent worker held up all others for the time limit of each call. Change: each worker's tasks are stopped in a coroutine of their own.

--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -1,7 +1,9 @@
 """Scheduling of one shard during one tenure."""
 
 import logging
+from collections import defaultdict
 
+from chiveworks.base import WorkerId
 from chiveworks.instances import InstanceState
 from chiveworks.jobs import (
     JobRecord,
@@ -50,6 +52,7 @@
         self._background = background
         self._quotas = quotas
         self._metrics = context.metrics
+        self._evicting: set[WorkerId] = set()
 
     def start(self) -> None:
         """Starts the loops; the ledger runs beside them."""
@@ -115,13 +118,33 @@
             _LOG.info('override %s has ceased to exist', override_id)
             self._context.ledger.commit(OverrideClosed(override_id))
 
-    async def _run_departure(self) -> None:
-        while True:
-            evicted = (*self._departure.tasks_to_evict(), *self._on_leaving_workers())
-            for task in evicted:
-                if task.state is not TaskState.STOPPING:
+    def _start_evictions(self) -> None:
+        """Stops tasks, on all workers at once and one by one on each."""
+        by_worker: dict[WorkerId, list[TaskRecord]] = defaultdict(list)
+        for task in self._departure.tasks_to_evict():
+            by_worker[task.worker].append(task)
+        for task in self._on_leaving_workers():
+            by_worker[task.worker].append(task)
+        for worker, tasks in by_worker.items():
+            if worker not in self._evicting:
+                self._evicting.add(worker)
+                self._background.start(self._evict(worker, tasks))
+
+    async def _evict(self, worker: WorkerId, tasks: list[TaskRecord]) -> None:
+        try:
+            for task in tasks:
+                if task.worker != worker:
+                    # It ended here since and runs elsewhere.
+                    continue
+                if task.is_active and task.state is not TaskState.STOPPING:
                     job = self._context.table.job_of(task.task_id)
                     self._metrics.count_eviction(job.tenant, 'zone')
                 await self._keeper.stop_task(task, checkpoint=True)
+        finally:
+            self._evicting.discard(worker)
+
+    async def _run_departure(self) -> None:
+        while True:
+            self._start_evictions()
             await self._departure.move_jobs()
             await self._context.clock.sleep(self._context.timings.commit_tick)
--- a/chiveworks/scheduler/tests/test_rounds.py
+++ b/chiveworks/scheduler/tests/test_rounds.py
@@ -1,6 +1,10 @@
 """Rounds look at changed jobs only; these are the changes that could be missed."""
 
-from chiveworks.base import ZoneName
+from datetime import timedelta
+
+from result import Err
+
+from chiveworks.base import Failure, Step, WorkerId, ZoneName
 from chiveworks.catalogue import ZoneState
 from chiveworks.membership import JobState
 from chiveworks.scheduler.tests.shard_bench import ShardBench
@@ -48,6 +52,40 @@
     await bench.stop()
 
 
+async def test_a_silent_worker_does_not_delay_evictions_from_others():
+    """Guards against a departure that waits for each stop in turn."""
+    bench = ShardBench(worker_count=4, process_count=1)
+    await bench.start()
+    await bench.put_entry(idempotent=True, can_checkpoint=True)
+    await bench.advance(1)
+    await bench.submit(bench.submission('bill', count=16, ms=600_000))
+    await bench.advance(3)
+    keeper = bench.processes[0].candidate._parts.scheduler._keeper
+    keeper.sessions[WorkerId('laita-w0')]._control = SilentControl(bench.clock)
+    await bench.set_zone(LAITA, ZoneState.OUT)
+    await bench.advance(1)
+    running = {
+        worker.spec.worker_id
+        for worker in bench.workers.values()
+        if worker.table.running()
+    }
+    assert running == {'laita-w0'}
+    await bench.stop()
+
+
+class SilentControl:
+    """A worker whose answers time out."""
+
+    def __init__(self, clock) -> None:
+        self._clock = clock
+
+    async def renew(self, *_args, **_options):
+        await self._clock.sleep(timedelta(seconds=1))
+        return Err(Failure.unknown(Step.STOP, 'laita-w0', 'no answer in time'))
+
+    stop = renew
+
+
 def _moving(bench: ShardBench) -> bool:
     parts = bench.owners_of(LAITA)[0].candidate._parts
     return bool(parts.service._context.table.moving)
