--- a/chiveworks/entry/_platform.py
+++ b/chiveworks/entry/_platform.py
@@ -2,6 +2,7 @@
 
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from datetime import timedelta
 
 from aiohttp import ClientSession, TCPConnector
 
@@ -36,7 +37,10 @@
     """Opens the sessions; `stack` closes them."""
     session = await stack.enter_async_context(_unlimited_session())
     worker_session = await stack.enter_async_context(_unlimited_session())
-    store = MeteredStore(HttpStore(session, settings.store_url), metrics)
+    timeout = timedelta(milliseconds=settings.store_timeout_ms)
+    store = MeteredStore(
+        HttpStore(session, settings.store_url, timeout=timeout), metrics
+    )
     replica = CatalogueReplica()
     return Platform(
         store,
