--- a/chiveworks/scheduler/_override_resolver.py
+++ b/chiveworks/scheduler/_override_resolver.py
@@ -25,6 +25,7 @@
     ShardFailure,
     TaskState,
 )
+from chiveworks.scheduler._copy_search import CopySearch
 from chiveworks.scheduler._fleet import Fleet
 from chiveworks.scheduler._shard_context import ShardContext
 from chiveworks.scheduler._shard_lost_error import ShardLostError
@@ -53,6 +54,7 @@
         context: ShardContext,
         editor: CatalogueEditor,
         fleet: Fleet,
+        copies: CopySearch,
         sessions: Mapping[WorkerId, WorkerSession],
     ) -> None:
         self._tenure = context.tenure
@@ -61,6 +63,7 @@
         self._replica = context.replica
         self._editor = editor
         self._fleet = fleet
+        self._copies = copies
         self._sessions = sessions
 
     async def resolve(
@@ -107,7 +110,8 @@
                 await asyncio.gather(
                     *(session.renew() for session in self._sessions.values())
                 )
-                return await self._release(override, TaskState.QUEUED)
+                obstacle = await self._search_copies(override)
+                return obstacle or await self._release(override, TaskState.QUEUED)
             case OverrideKind.RESIZED:
                 return await self._restore_size(override)
             case OverrideKind.MOVED if not self._may_evict(override):
@@ -118,6 +122,14 @@
                 )
         return await self._stop(override)
 
+    async def _search_copies(self, override: OverrideRecord) -> Failure | None:
+        if override.task_id not in self._table.tasks:
+            return None
+        spec = self._table.job_of(override.task_id).spec
+        return await self._copies.find_obstacle(
+            override.task_id, may_run_twice=spec.idempotent
+        )
+
     async def _release(
         self, override: OverrideRecord, state: TaskState
     ) -> Failure | None:
--- a/chiveworks/scheduler/_shard_parts.py
+++ b/chiveworks/scheduler/_shard_parts.py
@@ -9,6 +9,7 @@
 from chiveworks.journal import Journal
 from chiveworks.placement import ProtectionPolicy, Quarantine, TaskQueue, queue_orders
 from chiveworks.scheduler._background import Background
+from chiveworks.scheduler._copy_search import CopySearch
 from chiveworks.scheduler._fleet import Fleet
 from chiveworks.scheduler._job_closer import JobCloser
 from chiveworks.scheduler._job_registrar import JobRegistrar
@@ -122,7 +123,13 @@
     service = ShardService(
         context,
         JobRegistrar(context, scheduler.stop_job),
-        OverrideResolver(context, environment.editor, fleet, keeper.sessions),
+        OverrideResolver(
+            context,
+            environment.editor,
+            fleet,
+            CopySearch(environment.shards, environment.zone, environment.zones),
+            keeper.sessions,
+        ),
         quarantine,
         keeper.workers,
     )
--- a/chiveworks/scheduler/tests/test_overrides.py
+++ b/chiveworks/scheduler/tests/test_overrides.py
@@ -33,7 +33,7 @@
 from chiveworks.scheduler.tests.shard_bench import TASK, ShardBench
 from chiveworks.workers import StartOrder
 
-LAITA = ZoneName('laita')
+LAITA, ISOLE = ZoneName('laita'), ZoneName('isole')
 W0, W1 = 'laita-w0', 'laita-w1'
 ADOPT, REVERT = OverrideAction.ADOPT, OverrideAction.REVERT
 #: Longer than the renewal periods of busy and of idle workers.
@@ -136,8 +136,8 @@
         await bench.stop()
 
 
-async def _night(ms=30_000, count=1, workers=2, **fields) -> Night:
-    bench = ShardBench(timings=TIMINGS, worker_count=workers)
+async def _night(ms=30_000, count=1, workers=2, zones=(LAITA,), **fields) -> Night:
+    bench = ShardBench(timings=TIMINGS, worker_count=workers, zones=zones)
     _BENCHES.append(bench)
     await bench.start()
     await bench.put_entry(**{'idempotent': False, 'can_checkpoint': True, **fields})
@@ -539,6 +539,28 @@
     assert job.state is JobState.OUTCOME_UNKNOWN
 
 
+async def test_a_task_moved_to_another_zone_does_not_run_again_beside_its_copy():
+    """Guards against two copies: stopped here, started by hand in another zone.
+
+    Each zone sees half of the move; the revert of the stop has to ask the other.
+    """
+    night = await _night(zones=(LAITA, ISOLE))
+    night.stop_by_hand()
+    night.start_by_hand('isole-w0', night.task.task_id, ms=60_000)
+    await night.bench.advance(NOTICED_S)
+    noted = await night.only_override()
+    refused = await night.resolve(noted.override_id, REVERT)
+    assert refused.err_value.verdict is Verdict.NOT_RUN
+    assert 'isole-w0' in refused.err_value.message
+    for process in tuple(night.bench.owners_of(ISOLE)):
+        night.bench.kill(process)
+    refused = await night.resolve(noted.override_id, REVERT)
+    assert 'does not answer' in refused.err_value.message
+    await night.bench.advance(80, 0.1)
+    assert isinstance(await night.resolve(noted.override_id, REVERT), Ok)
+    assert (await night.finish()).state is JobState.FINISHED
+
+
 async def test_a_worker_with_a_lost_start_answer_gets_work_after_it_returns():
     """Guards against a worker that is passed over for ever.
 
