Check promises 5 to 10, and find deliberately wrong variants

The variant that repeats a start after a lost answer survived until the worker was cut off after the loss.

--- a/tests/promises/fault_bench.py
+++ b/tests/promises/fault_bench.py
@@ -1,6 +1,7 @@
 """A shard bench whose processes can be stopped at a chosen call."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -77,12 +78,17 @@
         trapped: Set once the trap has closed.
         late_by: For method names, seconds by which the network holds the next
             such command after the caller has given up on it.
+        lost_answers: For method names, how many of the next such commands take
+            effect but are not answered.
+        cut_after_loss: The worker of a lost answer is cut off afterwards.
     """
 
     def __init__(self, process: Process, clock: object) -> None:
         self.trap: Callable[[CallSite], bool] | None = None
         self.trapped: CallSite | None = None
         self.late_by: dict[str, float] = {}
+        self.lost_answers: Counter[str] = Counter()
+        self.cut_after_loss = False
         self._process = process
         self._clock = clock
         self._deliveries: set[asyncio.Future[None]] = set()
@@ -101,6 +107,13 @@
     async def deliver(
         self, target: object, name: str, args: tuple[object, ...], options: dict
     ) -> object:
+        if self.lost_answers[name]:
+            self.lost_answers[name] -= 1
+            await getattr(target, name)(*args, **options)
+            if self.cut_after_loss:
+                target.unreachable = True
+            await self._clock.sleep(_CALL_LIMIT)
+            return Err(Failure.unknown(Step.SEND, 'worker', 'answer lost'))
         late_s = self.late_by.pop(name, None)
         if late_s is None:
             return await getattr(target, name)(*args, **options)
@@ -175,6 +188,8 @@
             process.store.faults.drop_answer_next = 0
             self.calls_of(process).trap = None
             self.calls_of(process).late_by.clear()
+            self.calls_of(process).lost_answers.clear()
+            self.calls_of(process).cut_after_loss = False
             for worker in process.controls:
                 control = self.control(process, worker)
                 control.unreachable = False
