--- a/chiveworks/membership/_shard_view.py
+++ b/chiveworks/membership/_shard_view.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 
 from chiveworks.base import EntryId, Epoch, WorkerId, ZoneName
+from chiveworks.membership._job_count import JobCount
 from chiveworks.membership._job_view import JobView
 from chiveworks.membership._override_view import OverrideView
 from chiveworks.membership._task_count import TaskCount
+from chiveworks.membership._task_view import TaskView
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +23,9 @@
         quarantined_workers: Workers that receive no starts for now.
         overrides: Open manual overrides.
         unknown_outcomes: Jobs in the state "outcome unknown".
+        remaining_tasks: While the zone is out, the tasks that run to completion
+            there because they cannot be evicted.
+        job_counts: Jobs by state: open ones, and ended ones that are still kept.
     """
 
     zone: ZoneName
@@ -31,3 +36,5 @@
     quarantined_workers: tuple[WorkerId, ...] = ()
     overrides: tuple[OverrideView, ...] = ()
     unknown_outcomes: tuple[JobView, ...] = ()
+    remaining_tasks: tuple[TaskView, ...] = ()
+    job_counts: tuple[JobCount, ...] = ()
--- a/chiveworks/scheduler/_shard_lease.py
+++ b/chiveworks/scheduler/_shard_lease.py
@@ -23,7 +23,7 @@
 _ABSENT = Revision(0)
 _NONCE_BYTES = 12
 #: A silent connection delays a take-over by at most this long.
-_VACANCY_WAIT = timedelta(seconds=5)
+_VACANCY_WAIT = timedelta(seconds=3)
 _RETRY = timedelta(seconds=1)
 
 
--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -24,6 +24,11 @@
 _NO_TICKET = TicketMs(0)
 _RENEWALS_TO_LEASE = 2
 _MS = timedelta(milliseconds=1)
+#: Lag of workers' usage reports plus a renewal period.
+_MEASUREMENT_LAG = timedelta(seconds=7)
+_RENEWAL_MARGIN = timedelta(milliseconds=500)
+#: Bounds the calls to a worker that grants no lease.
+_SHORTEST_PAUSE = timedelta(milliseconds=100)
 
 
 class WorkerSession:
@@ -105,10 +110,23 @@
             self.is_in_contact = isinstance(renewed, Ok)
             await self._pause(period_of)
 
+    @property
+    def _longest_pause(self) -> timedelta:
+        """Time until the next renewal has to be sent to keep the lease alive.
+
+        A renewal quotes the ticket of the one before. With a lease of 15 s and
+        renewals every 8 s the lease of an idle worker lapsed 1 s before each
+        renewal, and a task started there by hand was stopped unnoticed.
+        """
+        left = self._leased_until - self._clock.monotonic()
+        return max(left - _RENEWAL_MARGIN, _SHORTEST_PAUSE)
+
     async def renew(self) -> Result[WorkerReport, Failure | Refusal]:
         """Renews the control lease and hands the worker's report on.
 
-        Every report is handed on: it carries measurements that no later one has.
+        Every report is handed on, also one fetched for its ticket: it may show a
+        manual override, which must count before the ticket is used, and it carries
+        measurements that no later one has.
         """
         async with self._lock:
             return await self._renew_locked()
@@ -166,6 +184,13 @@
                 self._tenure.epoch, task_id, attempt, cpu_millicores
             )
 
+    def started_recently(self, task_id: TaskId) -> bool:
+        """Tells whether measurements may not show the task yet."""
+        track = self.starts.get(task_id)
+        if track is None or track.confirmed is None:
+            return False
+        return self._clock.monotonic() - track.confirmed < _MEASUREMENT_LAG
+
     def forget_task(self, task_id: TaskId) -> None:
         """Drops what is known of a task's start and stop on this worker."""
         self.starts.pop(task_id, None)
@@ -187,7 +212,10 @@
         began = self._clock.monotonic()
         while True:
             self._has_new_work.clear()
-            left = began + period_of(self) - self._clock.monotonic()
+            period = period_of(self)
+            if self.is_in_contact:
+                period = min(period, self._longest_pause)
+            left = began + period - self._clock.monotonic()
             if left <= timedelta(0):
                 return
             sleeper = asyncio.ensure_future(self._clock.sleep(left))
