--- a/tests/promises/machine_checks.py
+++ b/tests/promises/machine_checks.py
@@ -33,6 +33,10 @@
 from tests.promises.tally import Tally
 
 
+#: Rules that are neither an operation nor a fault.
+_NEUTRAL = frozenset(('wait', 'thaw', 'push', 'pull', 'exchange', 'read_store'))
+
+
 class PromiseMachine(ShardMachine):
     """The shard machine with delayed commands and the naive model."""
 
@@ -106,9 +110,10 @@
     function: Callable[..., Any], name: str, tally: Tally, operations: set[str]
 ) -> Callable[..., Any]:
     def count(self: RuleBasedStateMachine, *given: Any, **drawn: Any) -> Any:
+        # The machine's own calls pass their arguments by position.
         if name in operations:
             tally.operations()
-        else:
+        elif not given and name not in _NEUTRAL:
             tally.fault(name)
         return function(self, *given, **drawn)
 
@@ -144,7 +149,7 @@
 )
 def shards_under_drawn_faults(tally: Tally, draw: random.Random, seeds: int) -> None:
     """Two zones with faults of every kind, drawn by hypothesis."""
-    machine = counted(PromiseMachine, tally, {'submit', 'wait', 'cancel', 'thaw'})
+    machine = counted(PromiseMachine, tally, {'submit', 'cancel'})
     _run(machine, seeds, 30)
 
 
--- a/tests/promises/report.py
+++ b/tests/promises/report.py
@@ -1,22 +1,31 @@
 """The table that the command prints."""
 
+import textwrap
+
 from tests.promises.tally import Tally
 
 _SHOWN_VIOLATIONS = 5
+_INDENT = ' ' * 4
 
 
 def print_report(tally: Tally) -> None:
     """Prints one row for each promise that was tried, and its violations."""
-    print(f'{"promise":40} {"operations":>10} {"violations":>10}  verdict  faults')
+    head = f'{"promise":40} {"operations":>10} {"faults":>7} {"violations":>10}'
+    print(f'{head}  verdict')
     for promise, row in tally.rows.items():
         if not row.operations and not row.violations:
             print(f'{promise.value:40} not tried')
             continue
         verdict = 'broken' if row.violations else 'held'
+        print(
+            f'{promise.value:40} {row.operations:>10} {row.faults.total():>7} '
+            f'{len(row.violations):>10}  {verdict}'
+        )
         faults = ', '.join(f'{kind} {count}' for kind, count in row.faults.items())
         print(
-            f'{promise.value:40} {row.operations:>10} {len(row.violations):>10}'
-            f'  {verdict:7}  {faults}'
+            textwrap.fill(
+                faults, 100, initial_indent=_INDENT, subsequent_indent=_INDENT
+            )
         )
         for message in row.violations[:_SHOWN_VIOLATIONS]:
-            print(f'    {message}')
+            print(f'{_INDENT}violation: {message}')
