Take over the shards of lost zones, and wait for the catalogue in the demo

Cause: when a zone was lost with all its processes, nobody moved its jobs until one of its processes returned. The demo sent readings before all processes knew the service (1 of 3,300 was refused). The demo waits until the catalogue is in force everywhere, and names the step of each refusal. The take-over itself has no test with processes yet and is listed as unproved.

--- a/chiveworks/entry/_create_candidate.py
+++ b/chiveworks/entry/_create_candidate.py
@@ -1,10 +1,11 @@
 """Assembly of the shard's scheduling in an entry process."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 import numpy as np
 
-from chiveworks.base import Clock, TaskId
+from chiveworks.base import Clock, TaskId, ZoneName
 from chiveworks.entry import _translate_settings as translate
 from chiveworks.entry._instance_watcher import InstanceWatcher
 from chiveworks.entry._mesh import Mesh
@@ -23,6 +24,7 @@
 from chiveworks.telemetry import Metrics
 from chiveworks.workers import WorkerReport
 
+_NO_PATIENCE = timedelta(0)
 _NAIVE_POLICY = 'first_fit'
 _QUEUE_ORDER = 'deadline_fair'
 
@@ -34,8 +36,11 @@
     watcher: InstanceWatcher,
     metrics: Metrics,
     clock: Clock,
+    zone: ZoneName,
+    patience: timedelta = _NO_PATIENCE,
 ) -> ShardCandidate:
-    """Returns the candidate for the shard of the process's zone."""
+    """Returns a candidate for the shard of `zone`, by default contending at once."""
+    is_own = zone == settings.zone
     estimator = SlowdownEstimator(clock)
     learner = InterferenceLearner(estimator, clock)
     sizes = SizeEstimator()
@@ -49,20 +54,20 @@
 
     return ShardCandidate(
         ShardEnvironment(
-            zone=settings.zone,
+            zone=zone,
             zones=tuple(settings.zone_latencies_ms),
             entry_id=settings.entry_id,
             peer_address=mesh.own.address,
             store=platform.store,
             replica=platform.replica,
             editor=platform.editor,
-            local=mesh.local,
+            local=mesh.local if is_own else mesh.local.of_zone(zone),
             owners=mesh.owners,
             shards=mesh.shards,
             policy=_create_policy(settings, estimator),
             queue_order=_QUEUE_ORDER,
             connect_worker=platform.connect_worker,
-            list_workers=lambda: watcher.workers_in(settings.zone),
+            list_workers=lambda: watcher.workers_in(zone),
             load_of=learner.load_of,
             on_report=observe,
             estimator=estimator,
@@ -72,7 +77,8 @@
             clock=clock,
             random=np.random.default_rng(),
             timings=translate.to_timings(settings),
-        )
+        ),
+        patience,
     )
 
 
--- a/chiveworks/entry/_entry_process.py
+++ b/chiveworks/entry/_entry_process.py
@@ -5,10 +5,11 @@
 import signal
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
+from datetime import timedelta
 
 from result import Err
 
-from chiveworks.base import RackName, SystemClock
+from chiveworks.base import RackName, SystemClock, ZoneName
 from chiveworks.entry import _translate_settings as translate
 from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._create_app import create_app
@@ -17,6 +18,7 @@
 from chiveworks.entry._instance_watcher import InstanceWatcher
 from chiveworks.entry._mesh import Mesh, open_mesh
 from chiveworks.entry._platform import Platform, open_platform
+from chiveworks.entry._zone_takeover import ZoneTakeover
 from chiveworks.instances import (
     Instance,
     InstanceRole,
@@ -29,6 +31,7 @@
 from chiveworks.telemetry import Metrics
 
 _LOG = logging.getLogger(__name__)
+_NO_PATIENCE = timedelta(0)
 
 
 class EntryProcess:
@@ -64,8 +67,21 @@
             await dispatcher.release_unused()
 
         watcher = InstanceWatcher(platform.instances, self._clock, take_instances)
-        candidate = create_candidate(
-            settings, platform, mesh, watcher, metrics, self._clock
+
+        def contend_for(
+            zone: ZoneName, patience: timedelta = _NO_PATIENCE
+        ) -> ShardCandidate:
+            return create_candidate(
+                settings, platform, mesh, watcher, metrics, self._clock, zone, patience
+            )
+
+        candidate = contend_for(settings.zone)
+        takeover = ZoneTakeover(
+            settings.zone,
+            tuple(settings.zone_latencies_ms),
+            platform.replica,
+            contend_for,
+            self._clock,
         )
         app = create_app(
             settings,
@@ -80,11 +96,13 @@
         await self._register(platform, mesh, InstanceState.LIVE)
         self._start(stack, 'configuration', mesh.follower.run())
         self._start(stack, 'shard', _contend(mesh, candidate))
+        self._start(stack, 'takeover', takeover.run())
 
         async def leave() -> None:
             await self._register(platform, mesh, InstanceState.LEAVING)
             await mesh.announce_leaving()
             await candidate.release()
+            await takeover.release()
 
         calm_collector()
         await run_server(
--- a/chiveworks/membership/_local_shard.py
+++ b/chiveworks/membership/_local_shard.py
@@ -5,11 +5,16 @@
 
 
 class LocalShard:
-    """Holds the handler of the own zone's shard while this process owns it."""
+    """Holds the handlers of the shards that this process owns.
+
+    Normally that is at most the shard of its own zone. While a zone is out of
+    service and has no process left, one of another zone may own its shard.
+    """
 
     def __init__(self, zone: ZoneName) -> None:
         self._zone = zone
         self._handler: ShardHandler | None = None
+        self._others: dict[ZoneName, LocalShard] = {}
 
     @property
     def is_owned(self) -> bool:
@@ -26,4 +31,11 @@
 
     def handler_of(self, zone: ZoneName) -> ShardHandler | None:
         """Returns the handler if this process owns the shard of `zone`."""
-        return self._handler if zone == self._zone else None
+        if zone == self._zone:
+            return self._handler
+        other = self._others.get(zone)
+        return other.handler_of(zone) if other else None
+
+    def of_zone(self, zone: ZoneName) -> 'LocalShard':
+        """Returns the holder of another zone's handler."""
+        return self._others.setdefault(zone, LocalShard(zone))
--- a/chiveworks/scheduler/_shard_candidate.py
+++ b/chiveworks/scheduler/_shard_candidate.py
@@ -19,22 +19,39 @@
 
 _LOG = logging.getLogger(__name__)
 _RETRY = timedelta(seconds=1)
+_NO_PATIENCE = timedelta(0)
 _RELEASE_LIMIT = timedelta(seconds=5)
 
 
 class ShardCandidate:
-    """Runs one tenure after another until the process stops."""
+    """Runs one tenure after another until the process stops.
 
-    def __init__(self, environment: ShardEnvironment) -> None:
+    Args:
+        environment: Services of the process.
+        patience: Time that a vacancy must last before this process contends, so
+            that others come first.
+    """
+
+    def __init__(
+        self, environment: ShardEnvironment, patience: timedelta = _NO_PATIENCE
+    ) -> None:
         self._environment = environment
+        self._patience = patience
         self._parts: ShardParts | None = None
         self._leaving = asyncio.Event()
 
+    @property
+    def is_owner(self) -> bool:
+        """Whether a tenure of this candidate is under way."""
+        return self._parts is not None
+
     async def run(self) -> None:
         """Contends and schedules; ends after `release`."""
         while not self._leaving.is_set():
             lease = self._create_lease()
             await lease.wait_for_vacancy()
+            if self._patience:
+                await self._pause(self._patience)
             acquired = await lease.acquire()
             if isinstance(acquired, Err):
                 _LOG.warning('no ownership of the shard: %s', acquired.err_value)
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -69,6 +69,7 @@
     sent: int = 0
     latencies_ms: list[float] = field(default_factory=list)
     verdicts: Counter[str] = field(default_factory=Counter)
+    steps: Counter[str] = field(default_factory=Counter)
     accepted: dict[str, str] = field(default_factory=dict)
     states: Counter[str] = field(default_factory=Counter)
     lost: list[str] = field(default_factory=list)
@@ -82,6 +83,14 @@
         target = f'{url}/v1/catalogue/{entry["name"]}?expected=0&author=demo'
         async with fleet.http.put(target, json=entry) as answer:
             answer.raise_for_status()
+    for url in fleet.entry_urls.values():
+        while not await _knows_all_entries(fleet, url):
+            await asyncio.sleep(0.05)
+
+
+async def _knows_all_entries(fleet: Fleet, url: str) -> bool:
+    async with fleet.http.get(f'{url}/v1/catalogue') as answer:
+        return len((await answer.json())['entries']) == len(_ENTRIES)
 
 
 async def send_readings(fleet: Fleet, tally: Tally) -> None:
@@ -107,7 +116,9 @@
         tally.verdicts['connection lost'] += 1
         return
     if not answer.ok:
-        tally.verdicts[body['error']['verdict']] += 1
+        error = body['error']
+        tally.verdicts[error['verdict']] += 1
+        tally.steps[f'{error["step"]}: {error["message"]}'] += 1
         return
     if body['request_id'] != f'reading-{number}':
         tally.wrong_answers += 1
@@ -194,6 +205,7 @@
         ('requests answered', len(latencies)),
         (f'requests later than {_LATE_MS} ms', late),
         ('requests not answered', dict(tally.verdicts) or 0),
+        *((f'  {step}', count) for step, count in tally.steps.items()),
         ('answers of another request', tally.wrong_answers),
         ('p50 / p99 in ms', f'{p50_ms:.1f} / {p99_ms:.1f}'),
         ('jobs accepted', len(tally.accepted)),
