--- a/chiveworks/cli/_status.py
+++ b/chiveworks/cli/_status.py
@@ -11,15 +11,24 @@
     {
         'services': 'services, last 5 minutes in the entry process that answers',
         'overrides': 'open manual overrides',
+        'past_overrides': 'manual overrides of the last day that are closed',
         'unknown_outcomes': 'jobs whose outcome is unknown',
         'unreachable_zones': 'zones whose shard has no owner in reach',
     }
 )
-_ORDER = ('services', 'jobs', 'overrides', 'unknown_outcomes', 'zones')
+_ORDER = (
+    'services',
+    'jobs',
+    'overrides',
+    'past_overrides',
+    'unknown_outcomes',
+    'zones',
+)
 #: Shown in parts of their own, or too long for a table.
 _HIDDEN = frozenset(
     (
         'overrides',
+        'past_overrides',
         'unknown_outcomes',
         'remaining_tasks',
         'job_counts',
--- a/chiveworks/entry/_status_routes.py
+++ b/chiveworks/entry/_status_routes.py
@@ -77,6 +77,9 @@
                 'overrides': [
                     one for view in plain_shards for one in view['overrides']
                 ],
+                'past_overrides': [
+                    one for view in plain_shards for one in view['past_overrides']
+                ],
                 'unknown_outcomes': [
                     one for view in plain_shards for one in view['unknown_outcomes']
                 ],
--- a/chiveworks/jobs/_changes.py
+++ b/chiveworks/jobs/_changes.py
@@ -152,9 +152,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OverrideClosed:
-    """An override was adopted, reverted, or has ceased to exist."""
+    """An override was adopted, reverted, or has ceased to exist.
+
+    Attributes:
+        outcome: What became of it, for the list of past overrides.
+    """
 
     override_id: str
+    outcome: str = 'it no longer applies'
     type: Literal['override_closed'] = 'override_closed'
 
 
--- a/chiveworks/jobs/_task_table.py
+++ b/chiveworks/jobs/_task_table.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from chiveworks.base import JobId, Resources, TaskId, WorkerId
@@ -12,6 +13,7 @@
 from chiveworks.membership import TaskState
 
 _NOTHING = Resources()
+_MOST_PAST_OVERRIDES = 200
 
 
 class InvalidChangeError(Exception):
@@ -29,6 +31,9 @@
         self.jobs: dict[JobId, JobRecord] = {}
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.overrides: dict[str, OverrideRecord] = {}
+        #: Closed ones, oldest first: what was done at night has to be visible in
+        #: the morning although its task has ended.
+        self.past_overrides: dict[str, OverrideRecord] = {}
         #: Jobs whose move has begun, in that order.
         self.moving: dict[JobId, JobRecord] = {}
         #: The last owner that did not release the shard; it may still be
@@ -63,8 +68,11 @@
         """Returns changes that rebuild this table."""
         jobs = (changes.JobAccepted(job) for job in self.jobs.values())
         noted = (changes.OverrideNoted(one) for one in self.overrides.values())
+        past = (
+            change for one in self.past_overrides.values() for change in _as_past(one)
+        )
         owner = (self.unreleased_owner,) if self.unreleased_owner else ()
-        return (*owner, *jobs, *noted)
+        return (*owner, *jobs, *past, *noted)
 
     @singledispatchmethod
     def apply(self, change: object) -> None:
@@ -187,11 +195,19 @@
 
     @apply.register
     def _override_noted(self, change: changes.OverrideNoted) -> None:
-        self.overrides[change.override.override_id] = change.override
+        override = change.override
+        self.past_overrides.pop(override.override_id, None)
+        self.overrides[override.override_id] = override
 
     @apply.register
     def _override_closed(self, change: changes.OverrideClosed) -> None:
-        self.overrides.pop(change.override_id, None)
+        override = self.overrides.pop(change.override_id, None)
+        if override is None:
+            return
+        detail = f'{override.detail}; {change.outcome}'
+        self.past_overrides[change.override_id] = replace(override, detail=detail)
+        if len(self.past_overrides) > _MOST_PAST_OVERRIDES:
+            self.past_overrides.pop(next(iter(self.past_overrides)))
 
     def _hold(self, task: TaskRecord) -> None:
         self._on_worker[task.worker].add(task.task_id)
@@ -200,3 +216,12 @@
     def _free(self, task: TaskRecord) -> None:
         self._on_worker[task.worker].discard(task.task_id)
         self._reserved[task.worker] = self.reserved_on(task.worker) - task.reserved
+
+
+def _as_past(override: OverrideRecord) -> tuple[changes.Change, ...]:
+    """Returns changes that rebuild a closed override with its detail."""
+    detail, _, outcome = override.detail.rpartition('; ')
+    return (
+        changes.OverrideNoted(replace(override, detail=detail)),
+        changes.OverrideClosed(override.override_id, outcome),
+    )
--- a/chiveworks/membership/_shard_view.py
+++ b/chiveworks/membership/_shard_view.py
@@ -22,6 +22,7 @@
         workers: Number of workers.
         quarantined_workers: Workers that receive no starts for now.
         overrides: Open manual overrides.
+        past_overrides: Those noted in the last day that are closed.
         unknown_outcomes: Jobs in the state "outcome unknown".
         remaining_tasks: While the zone is out, the tasks that run to completion
             there because they cannot be evicted.
@@ -38,3 +39,4 @@
     unknown_outcomes: tuple[JobView, ...] = ()
     remaining_tasks: tuple[TaskView, ...] = ()
     job_counts: tuple[JobCount, ...] = ()
+    past_overrides: tuple[OverrideView, ...] = ()
--- a/chiveworks/membership/_wire_shards.py
+++ b/chiveworks/membership/_wire_shards.py
@@ -77,6 +77,7 @@
         workers=shard.workers,
         quarantined_workers=shard.quarantined_workers,
         overrides=[override_to_wire(override) for override in shard.overrides],
+        past_overrides=[override_to_wire(one) for one in shard.past_overrides],
         unknown_outcomes=[job_to_wire(job) for job in shard.unknown_outcomes],
         remaining_tasks=[task_to_wire(task) for task in shard.remaining_tasks],
         job_counts=[
@@ -104,6 +105,7 @@
         workers=message.workers,
         quarantined_workers=tuple(map(WorkerId, message.quarantined_workers)),
         overrides=tuple(map(override_from_wire, message.overrides)),
+        past_overrides=tuple(map(override_from_wire, message.past_overrides)),
         unknown_outcomes=tuple(map(job_from_wire, message.unknown_outcomes)),
         remaining_tasks=tuple(map(task_from_wire, message.remaining_tasks)),
         job_counts=tuple(
--- a/chiveworks/scheduler/_override_resolver.py
+++ b/chiveworks/scheduler/_override_resolver.py
@@ -99,7 +99,7 @@
                 failure = await self._adopt_size(override, author)
                 if failure is not None:
                     return failure
-        await self._commit(OverrideClosed(override.override_id))
+        await self._commit(OverrideClosed(override.override_id, f'adopted by {author}'))
         return None
 
     async def _revert(self, override: OverrideRecord) -> Failure | None:
@@ -138,8 +138,10 @@
         if task is None or task.state is not TaskState.HELD or not is_open:
             return self._gone(override.override_id)
         # One commit: a decision that comes at the same time finds no override.
+        outcome = 'adopted' if state is TaskState.CANCELLED else 'reverted'
         await self._commit(
-            TaskReleased(task.task_id, state), OverrideClosed(override.override_id)
+            TaskReleased(task.task_id, state),
+            OverrideClosed(override.override_id, outcome),
         )
         return None
 
@@ -202,7 +204,7 @@
             return self._command_failed(override, resized.err_value)
         if task.is_active:
             self._ledger.commit(TaskResized(task.task_id, declared))
-        await self._commit(OverrideClosed(override.override_id))
+        await self._commit(OverrideClosed(override.override_id, 'reverted'))
         return None
 
     async def _stop(self, override: OverrideRecord) -> Failure | None:
--- a/chiveworks/scheduler/_shard_service.py
+++ b/chiveworks/scheduler/_shard_service.py
@@ -98,5 +98,6 @@
                 is_leaving=not self._context.replica.is_in_service(
                     self._context.tenure.zone
                 ),
+                now=self._context.clock.now(),
             )
         )
--- a/chiveworks/scheduler/_shard_views.py
+++ b/chiveworks/scheduler/_shard_views.py
@@ -1,12 +1,15 @@
 """A shard's state as shown to operators."""
 
 from collections import Counter
+from datetime import datetime, timedelta
 
 from chiveworks.base import WorkerId
 from chiveworks.jobs import TaskTable
 from chiveworks.membership import JobCount, JobState, ShardView, TaskCount, TaskView
 from chiveworks.scheduler._tenure import Tenure
 
+_PAST_OVERRIDES_SHOWN = timedelta(days=1)
+
 
 def describe_shard(
     tenure: Tenure,
@@ -15,6 +18,7 @@
     quarantined: tuple[WorkerId, ...],
     *,
     is_leaving: bool,
+    now: datetime,
 ) -> ShardView:
     """Returns counts, open overrides and jobs with unknown outcome."""
     counts = Counter(task.state for task in table.tasks.values())
@@ -34,6 +38,11 @@
         ),
         _remaining_tasks(table) if is_leaving else (),
         tuple(JobCount(state, count) for state, count in sorted(jobs.items())),
+        tuple(
+            one.view(tenure.zone)
+            for one in table.past_overrides.values()
+            if now - one.since < _PAST_OVERRIDES_SHOWN
+        ),
     )
 
 
--- a/chiveworks/scheduler/tests/test_overrides.py
+++ b/chiveworks/scheduler/tests/test_overrides.py
@@ -1,13 +1,14 @@
 """Failure tests of manual overrides: real candidates and workers changed by hand."""
 
 import asyncio
-from datetime import timedelta
+from datetime import datetime, timedelta, timezone
 
 import pytest
 from result import Err, Ok
 
 from chiveworks.base import (
     Attempt,
+    EntryName,
     Epoch,
     Failure,
     Resources,
@@ -19,7 +20,15 @@
     ZoneName,
 )
 from chiveworks.catalogue import CatalogueEditor, CatalogueReplica, ZoneState
-from chiveworks.jobs import job_id_of
+from chiveworks.jobs import (
+    OverrideClosed,
+    OverrideNoted,
+    OverrideRecord,
+    TaskTable,
+    decode_change,
+    encode_change,
+    job_id_of,
+)
 from chiveworks.membership import (
     FailureReason,
     JobState,
@@ -609,3 +618,48 @@
     await night.bench.advance(4)
     await night.lose_owner()
     assert (await night.finish()).state is JobState.FINISHED
+
+
+@pytest.mark.parametrize('new_owner', [False, True])
+async def test_a_closed_override_is_still_shown_for_a_day(new_owner):
+    """Guards against a move at night that nobody can see in the morning."""
+    night = await _night(count=1, ms=30_000)
+    night.resize_by_hand(2000)
+    await night.bench.advance(NOTICED_S)
+    noted = await night.only_override()
+    assert (await night.finish()).state is JobState.FINISHED
+    assert await night.overrides() == ()
+    if new_owner:
+        await night.change_owner()
+    handler = night.owner.local.handler_of(LAITA)
+    shard = (await night.bench.drive(handler.describe_shard())).ok_value
+    (past,) = shard.past_overrides
+    assert (past.override_id, past.since) == (noted.override_id, noted.since)
+    assert past.detail.startswith(noted.detail)
+    night.bench.clock.shift(timedelta(days=1))
+    shard = (await night.bench.drive(handler.describe_shard())).ok_value
+    assert shard is None or shard.past_overrides == ()
+
+
+def test_a_snapshot_keeps_closed_overrides():
+    """Guards against past overrides that are lost with the journal's old records."""
+    table = TaskTable()
+    record = OverrideRecord(
+        'o1',
+        OverrideKind.MOVED,
+        WorkerId('w0'),
+        TaskId('t/0'),
+        Attempt(1),
+        EntryName('bill'),
+        'billing',
+        datetime(2026, 1, 1, tzinfo=timezone.utc),
+        'runs; on w0',
+        Resources(1),
+    )
+    table.apply(OverrideNoted(record))
+    table.apply(OverrideClosed('o1', 'reverted'))
+    copy = TaskTable()
+    for change in table.snapshot():
+        copy.apply(decode_change(encode_change(change)))
+    assert copy.past_overrides == table.past_overrides
+    assert not copy.overrides
