--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -1,6 +1,7 @@
 """Failure tests of a shard: each drives real candidates on a stepped clock."""
 
 import asyncio
+from datetime import timedelta
 
 from result import Ok
 
@@ -16,6 +17,7 @@
 from chiveworks.catalogue import ZoneState
 from chiveworks.jobs import job_id_of
 from chiveworks.membership import JobState, TaskState
+from chiveworks.scheduler import SchedulerTimings
 from chiveworks.scheduler.tests.shard_bench import ShardBench
 from chiveworks.workers import StartOrder
 
@@ -241,3 +243,32 @@
     owner.store.faults.outage = False
     assert isinstance(await bench.drive(handler.cancel(job_id), 5), Ok)
     await bench.stop()
+
+
+async def test_a_lost_zone_is_emptied_by_an_owner_that_reaches_no_worker():
+    """Guards against jobs that wait for a zone that never returns.
+
+    The owner counts the lost workers' tasks as ended only after every lease that
+    a former owner may have renewed has lapsed.
+    """
+    tolerance = timedelta(seconds=20)
+    bench = await _started(
+        zones=(LAITA, ISOLE), timings=SchedulerTimings(store_outage_tolerance=tolerance)
+    )
+    submission = bench.submission('bill-1', count=4, ms=60_000)
+    await bench.submit(submission, LAITA)
+    await bench.advance(4)
+    lost = [process for process in bench.processes if process.zone == LAITA]
+    for process in lost:
+        bench.kill(process)
+    await bench.set_zone(LAITA, ZoneState.OUT)
+    foreign = bench.add_process(LAITA)
+    for worker, control in foreign.controls.items():
+        control.unreachable = worker.startswith('laita-')
+    await bench.advance(30)
+    assert (await bench.job(submission)).home == LAITA
+    await bench.advance(150)
+    job = await bench.job(submission)
+    assert (job.home, job.state) == (ISOLE, JobState.FINISHED)
+    bench.check_never_twice_at_once()
+    await bench.stop()
