Apply the limits and pick the variants that settings name

Cause: limits.header_bytes, rate_per_s and read_timeout_ms had no effect, and the limiter and the order of the queue could not be picked in settings. Change: headers over the limit get 431; the body's wait and a default rate per tenant apply; limits.limiter and placement.queue_order are settings.

--- a/chiveworks/entry/_create_app.py
+++ b/chiveworks/entry/_create_app.py
@@ -11,6 +11,7 @@
 from chiveworks.entry import _translate_settings as translate
 from chiveworks.entry._catalogue_routes import add_catalogue_routes
 from chiveworks.entry._error_middleware import answer_errors
+from chiveworks.entry._header_middleware import limit_headers
 from chiveworks.entry._health_routes import add_health_routes
 from chiveworks.entry._job_gateway import JobGateway
 from chiveworks.entry._job_routes import add_job_routes
@@ -42,6 +43,7 @@
     app = web.Application(client_max_size=settings.limits.body_bytes)
     app.middlewares.append(record_latencies(platform.replica, monitor, metrics, clock))
     app.middlewares.append(answer_errors)
+    app.middlewares.append(limit_headers(settings.limits.header_bytes))
     add_health_routes(app, is_ready, metrics)
     add_catalogue_routes(
         app,
--- a/chiveworks/entry/_create_candidate.py
+++ b/chiveworks/entry/_create_candidate.py
@@ -26,7 +26,6 @@
 
 _NO_PATIENCE = timedelta(0)
 _NAIVE_POLICY = 'first_fit'
-_QUEUE_ORDER = 'deadline_fair'
 
 
 def create_candidate(
@@ -65,7 +64,7 @@
             owners=mesh.owners,
             shards=mesh.shards,
             policy=_create_policy(settings, estimator),
-            queue_order=_QUEUE_ORDER,
+            queue_order=settings.placement.queue_order,
             connect_worker=platform.connect_worker,
             list_workers=lambda: watcher.workers_in(zone),
             load_of=learner.load_of,
--- a/chiveworks/entry/_service_routes.py
+++ b/chiveworks/entry/_service_routes.py
@@ -106,7 +106,8 @@
         deadline: timedelta,
     ) -> web.StreamResponse:
         allowed = deadline - self._clock.monotonic()
-        body = await read_body(request, self._settings.body_bytes, allowed)
+        patience = min(allowed, self._settings.read_timeout)
+        body = await read_body(request, self._settings.body_bytes, patience)
         if isinstance(body, Err):
             return _answer(head, body.err_value)
         outgoing = Request(
@@ -133,7 +134,7 @@
             head.service,
             entry.service_class,
             outgoing.deadline,
-            entry.rate_per_s,
+            entry.rate_per_s or self._settings.rate_per_s,
             entry.concurrency,
         )
         admitted = await self._admission.admit(demand)
--- a/chiveworks/entry/_translate_settings.py
+++ b/chiveworks/entry/_translate_settings.py
@@ -39,7 +39,9 @@
 
 def to_admission(settings: Settings) -> AdmissionSettings:
     """Returns the parameters of admission."""
-    return AdmissionSettings(limit=settings.limits.concurrency)
+    return AdmissionSettings(
+        limiter=settings.limits.limiter, limit=settings.limits.concurrency
+    )
 
 
 def to_service(settings: Settings) -> ServiceSettings:
@@ -47,6 +49,8 @@
     return ServiceSettings(
         body_bytes=settings.limits.body_bytes,
         longest_deadline=_ms(settings.limits.default_deadline_ms),
+        read_timeout=_ms(settings.limits.read_timeout_ms),
+        rate_per_s=settings.limits.rate_per_s,
     )
 
 
--- a/chiveworks/settings/_limits.py
+++ b/chiveworks/settings/_limits.py
@@ -1,6 +1,6 @@
 """Limits on callers' requests."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
 
@@ -16,6 +16,7 @@
         concurrency: Requests in progress, of all tenants together.
         rate_per_s: Requests a second of one tenant; 0 for no limit.
         read_timeout_ms: Longest wait for the caller to send its request.
+        limiter: How the concurrency is limited.
         default_deadline_ms: Deadline of a request that names none.
     """
 
@@ -26,4 +27,5 @@
     concurrency: _AboveZero = 1024
     rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0
     read_timeout_ms: _AboveZero = 10_000
+    limiter: Literal['adaptive', 'fixed'] = 'adaptive'
     default_deadline_ms: _AboveZero = 30_000
--- a/chiveworks/settings/_placement.py
+++ b/chiveworks/settings/_placement.py
@@ -32,6 +32,7 @@
     model_config = ConfigDict(frozen=True, strict=True, extra='forbid')
 
     policy: Literal['interference_aware', 'first_fit'] = 'interference_aware'
+    queue_order: Literal['deadline_fair', 'fifo'] = 'deadline_fair'
     weights: PlacementWeights = PlacementWeights()
     # Slowdown of a service, as workers report it, above which the batch tasks
     # beside it are throttled and in the end evicted.
