Count retries by verdict

Cause: the instrument existed, but nothing recorded retries. Change: the dispatcher reports each retry with what was known so far.

--- a/chiveworks/entry/_entry_process.py
+++ b/chiveworks/entry/_entry_process.py
@@ -58,7 +58,7 @@
         mesh = await open_mesh(settings, platform, self._clock, stack)
         routing = translate.to_routing(settings)
         table = EndpointTable(self._clock, routing, platform.replica.is_in_service)
-        dispatcher = Dispatcher(table, self._clock, routing)
+        dispatcher = Dispatcher(table, self._clock, routing, metrics.count_retry)
         stack.push_async_callback(dispatcher.close)
 
         async def take_instances(snapshot: InstanceSnapshot) -> None:
--- a/chiveworks/routing/_dispatcher.py
+++ b/chiveworks/routing/_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -39,14 +40,20 @@
         table: The endpoints.
         clock: Source of time.
         settings: Parameters of routing.
+        on_retry: Called before each retry with the verdict so far.
     """
 
     def __init__(
-        self, table: EndpointTable, clock: Clock, settings: RoutingSettings
+        self,
+        table: EndpointTable,
+        clock: Clock,
+        settings: RoutingSettings,
+        on_retry: Callable[[Verdict], None] | None = None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._settings = settings
+        self._on_retry = on_retry
         policy = ROUTING_POLICIES.create(settings.policy)
         self._router = Router(table, policy, clock)
         self._connections = Connections(settings)
@@ -65,6 +72,8 @@
             endpoint = await self._next_endpoint(request, tried)
             if endpoint is None:
                 break
+            if failure is not None and self._on_retry is not None:
+                self._on_retry(failure.verdict)
             tried.append(endpoint)
             try:
                 return Ok(await self._attempt(request, endpoint, tried))
