Choose a silent worker only once

Cause: contact was judged by periodic renewals only, so every round of starts chose a worker that had gone silent again, up to 8 s, and waited for it. Change: each renewal updates it, also one for a start's ticket. Conclusion: a silent worker costs one round.

--- a/chiveworks/scheduler/_worker_session.py
+++ b/chiveworks/scheduler/_worker_session.py
@@ -107,7 +107,6 @@
             renewed = await self.renew()
             if isinstance(renewed, Err):
                 on_failure(self, renewed.err_value)
-            self.is_in_contact = isinstance(renewed, Ok)
             await self._pause(period_of)
 
     @property
@@ -129,7 +128,11 @@
         measurements that no later one has.
         """
         async with self._lock:
-            return await self._renew_locked()
+            renewed = await self._renew_locked()
+        # Also after a ticket that failed to come: otherwise each round of starts
+        # would choose a silent worker again and wait for its timeout.
+        self.is_in_contact = isinstance(renewed, Ok)
+        return renewed
 
     async def ready_ticket(self) -> TicketMs | None:
         """Returns a fresh ticket under a live lease, or None without contact."""
--- a/chiveworks/scheduler/tests/test_shard.py
+++ b/chiveworks/scheduler/tests/test_shard.py
@@ -272,3 +272,21 @@
     assert (job.home, job.state) == (ISOLE, JobState.FINISHED)
     bench.check_never_twice_at_once()
     await bench.stop()
+
+
+async def test_a_silent_worker_is_not_chosen_again_at_once():
+    """Guards against rounds of starts that wait for the same silent worker.
+
+    The idle worker's next periodic renewal is up to 8 s away when it goes silent.
+    """
+    bench = await _started()
+    await bench.advance(2)
+    owner = bench.owners_of(LAITA)[0]
+    owner.controls['laita-w0'].unreachable = True
+    submission = bench.submission('bill-1', ms=500)
+    await bench.submit(submission)
+    await bench.advance(3)
+    session = owner.candidate._parts.scheduler._keeper.sessions['laita-w0']
+    assert not session.is_in_contact
+    assert bench.workers['laita-w1'].log.events
+    await bench.stop()
