Skip an exchange when a peer of the zone has just made one

Cause: an exchange informs both sides, yet each of two processes started one every second. Change: a process that was just informed by a peer of its zone skips its turn.

--- a/chiveworks/membership/_config_follower.py
+++ b/chiveworks/membership/_config_follower.py
@@ -155,7 +155,8 @@
         while True:
             share = 1 + _EXCHANGE_JITTER * (2 * self._random.random() - 1)
             await self._clock.sleep(_EXCHANGE_INTERVAL * share)
-            await self._exchange_once()
+            if not self._exchange.take_informed():
+                await self._exchange_once()
 
     async def _exchange_once(self) -> None:
         exchange = self._exchange
--- a/chiveworks/membership/_peer_exchange.py
+++ b/chiveworks/membership/_peer_exchange.py
@@ -43,6 +43,7 @@
         self.clock = clock
         self.progress = WatcherProgress(clock)
         self.is_draining = False
+        self._was_informed = False
 
     def status(self) -> PeerStatus:
         """Returns what peers are told about this process."""
@@ -63,6 +64,9 @@
         self.owners.update(request.owners)
         self._note_status(request.status)
         differs = request.status.owners_digest != self.owners.digest
+        is_behind = self.sync.revision < request.status.revision
+        if request.status.zone == self.own.zone and not differs and not is_behind:
+            self._was_informed = True
         if request.complete_after is None:
             page = self.sync.changes_page(request.status.revision, PAGE_BYTES)
         else:
@@ -73,6 +77,15 @@
             owners=self.owners.records() if differs else (),
         )
 
+    def take_informed(self) -> bool:
+        """Tells whether a peer of the zone has exchanged since the last call.
+
+        An exchange informs both sides, so its receiver need not start one too.
+        """
+        was_informed = self._was_informed
+        self._was_informed = False
+        return was_informed
+
     def accept_push(self, push: ConfigPush) -> None:
         """Takes changes that a watcher has pushed."""
         self.sync.apply_changes(push.items, push.after, push.revision)
