--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -25,9 +25,6 @@
 from chiveworks.scheduler._zone_departure import ZoneDeparture
 
 _LOG = logging.getLogger(__name__)
-#: Ticks between checks for a departure while there is none. Starts are stopped
-#: elsewhere, at once.
-_IDLE_TICKS = 4
 
 
 class ShardScheduler:
@@ -150,7 +147,4 @@
         while True:
             self._start_evictions()
             await self._departure.move_jobs()
-            pause = self._context.timings.commit_tick
-            if not self._departure.has_work:
-                pause *= _IDLE_TICKS
-            await self._context.clock.sleep(pause)
+            await self._context.clock.sleep(self._context.timings.commit_tick)
--- a/chiveworks/scheduler/_zone_departure.py
+++ b/chiveworks/scheduler/_zone_departure.py
@@ -53,11 +53,6 @@
         """Whether operators have taken the zone out."""
         return not self._replica.is_in_service(self._tenure.zone)
 
-    @property
-    def has_work(self) -> bool:
-        """Whether the zone is leaving or moves have begun."""
-        return self.is_leaving or bool(self._table.moving)
-
     def tasks_to_evict(self) -> tuple[TaskRecord, ...]:
         """Returns the running tasks that are to be checkpointed and stopped."""
         if not self.is_leaving:
