--- /dev/null
+++ b/chiveworks/dispatch/__init__.py
@@ -0,0 +1,29 @@
+"""Dispatch of tasks to workers by the process that leads."""
+
+from chiveworks.dispatch._bounds import SchedulingBounds
+from chiveworks.dispatch._leader import Leader
+from chiveworks.dispatch._scheduler import Scheduler
+from chiveworks.dispatch._worker_control import (
+    EndKind,
+    EndRow,
+    OrderOutcome,
+    RunRow,
+    StartOrder,
+    WorkerControl,
+    WorkerReport,
+)
+from chiveworks.dispatch._worker_info import WorkerInfo
+
+__all__ = (
+    'EndKind',
+    'EndRow',
+    'Leader',
+    'OrderOutcome',
+    'RunRow',
+    'Scheduler',
+    'SchedulingBounds',
+    'StartOrder',
+    'WorkerControl',
+    'WorkerInfo',
+    'WorkerReport',
+)
--- /dev/null
+++ b/chiveworks/dispatch/_assigner.py
@@ -0,0 +1,118 @@
+"""Goes through what may start and claims workers for it."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from datetime import timedelta
+
+from chiveworks.base import Clock, Resources
+from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import Job, StepRun, Task
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class Assigner:
+    """Claims workers for waiting tasks in the order of priority, then of age.
+
+    Args:
+        clock: Source of time.
+        log: Where claims are written.
+        table: Jobs.
+        placer: Picks workers.
+        service_of: Returns the service that now runs a job's tasks.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        table: JobTable,
+        placer: Placer,
+        service_of: Callable[[Job], str],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._table = table
+        self._placer = placer
+        self._service_of = service_of
+
+    def assign(self) -> list[Task]:
+        """Claims workers for all waiting tasks that fit; returns the tasks."""
+        claimed: list[Task] = []
+        full: defaultdict[str, list[tuple[bool, Resources]]] = defaultdict(list)
+        for run in sorted(self._table.ready, key=_urgency):
+            waiting = run.waiting()
+            if not waiting:
+                self._table.ready.pop(run, None)
+                continue
+            service = self._service_of(run.job)
+            if not _hopeless(run, full[service]):
+                claimed.extend(self._assign_run(run, waiting, service, full[service]))
+        return claimed
+
+    def _assign_run(
+        self,
+        run: StepRun,
+        waiting: list[Task],
+        service: str,
+        full: list[tuple[bool, Resources]],
+    ) -> list[Task]:
+        candidates = self._placer.candidates(run, service)
+        claimed: list[Task] = []
+        for task in waiting:
+            worker = self._placer.choose(task, candidates)
+            if worker is None:
+                if _plain(run):
+                    full.append((run.spec.fills, run.spec.demand))
+                break
+            self._claim(task, worker)
+            claimed.append(task)
+        if run.spec.gang and len(claimed) < run.spec.count:
+            self._unclaim(claimed)
+            return []
+        if len(claimed) == len(waiting):
+            self._table.ready.pop(run, None)
+        return claimed
+
+    def _claim(self, task: Task, worker: WorkerView) -> None:
+        task.claim(worker.worker_id)
+        worker.add(task)
+        job = task.run_of.job
+        self._log.write(
+            'task_claimed',
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            attempt=task.attempt,
+            worker=worker.worker_id,
+            waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
+            free_millicores=worker.info.capacity.cpu_millicores
+            - worker.cpu_millicores,
+        )
+
+    def _unclaim(self, claimed: list[Task]) -> None:
+        for task in claimed:
+            worker = self._placer.worker_of(task)
+            if worker is not None:
+                worker.remove(task)
+            task.release()
+
+
+def _urgency(run: StepRun) -> tuple[int, timedelta]:
+    return run.job.queue.priority, run.job.seen_at
+
+
+def _plain(run: StepRun) -> bool:
+    """Whether only room decides where tasks of the step may run."""
+    spec = run.spec
+    return not (spec.required_label or spec.worker_limit or spec.gang)
+
+
+def _hopeless(run: StepRun, full: list[tuple[bool, Resources]]) -> bool:
+    """Whether a task that needs no more found no room in this round."""
+    return any(
+        fills is run.spec.fills and demand.fits_in(run.spec.demand)
+        for fills, demand in full
+    )
--- /dev/null
+++ b/chiveworks/dispatch/_bounds.py
@@ -0,0 +1,19 @@
+"""Limits that the platform sets for the scheduler."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingBounds:
+    """Bounds of a deployment.
+
+    Attributes:
+        lease_limit: Longest lease that a worker grants.
+        early_limit: How long before its due time an occurrence may start.
+        retention: How long the end of a job can be asked for.
+    """
+
+    lease_limit: timedelta
+    early_limit: timedelta
+    retention: timedelta
--- /dev/null
+++ b/chiveworks/dispatch/_drainer.py
@@ -0,0 +1,53 @@
+"""Moves runs off workers that are about to leave."""
+
+from datetime import timedelta
+from typing import Final
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.workflow import TaskState
+
+#: Time before the earliest departure at which runs are stopped: a stop, the look
+#: that reports it and one repetition of the order fit into it.
+STOP_LEAD: Final = timedelta(milliseconds=900)
+
+
+class Drainer:
+    """Stops the runs of a draining worker just before it may leave.
+
+    A stop yields a checkpoint and a certain end; a departure yields neither, and
+    its runs could start again only after the worker's lease has lapsed.
+
+    Args:
+        clock: Source of time.
+        workers: Workers by id.
+        orders: Sends the stops.
+    """
+
+    def __init__(
+        self, clock: Clock, workers: dict[WorkerId, WorkerView], orders: Orders
+    ) -> None:
+        self._clock = clock
+        self._workers = workers
+        self._orders = orders
+        self._leaves_at: dict[WorkerId, timedelta] = {}
+
+    def check(self) -> None:
+        """Stops runs whose worker leaves soon."""
+        now = self._clock.monotonic()
+        for worker in self._workers.values():
+            if not worker.info.draining:
+                self._leaves_at.pop(worker.worker_id, None)
+            elif worker.live and self._is_due(worker, now):
+                self._stop_all(worker)
+
+    def _is_due(self, worker: WorkerView, now: timedelta) -> bool:
+        left = worker.info.remaining or timedelta()
+        leaves_at = self._leaves_at.setdefault(worker.worker_id, now + left)
+        return now >= leaves_at - STOP_LEAD
+
+    def _stop_all(self, worker: WorkerView) -> None:
+        for task in tuple(worker.tasks.values()):
+            if task.state in {TaskState.CLAIMED, TaskState.RUNNING}:
+                self._orders.stop(task, 'the worker leaves')
--- /dev/null
+++ b/chiveworks/dispatch/_fleet.py
@@ -0,0 +1,117 @@
+"""Workers of the platform's list, each with a session while the term lasts."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._worker_control import WorkerControl
+from chiveworks.dispatch._worker_info import WorkerInfo
+from chiveworks.dispatch._worker_lease import WorkerLease
+from chiveworks.dispatch._worker_session import WorkerSession
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import Task
+
+
+class Fleet:
+    """Opens a session for each listed worker and closes it when it has left.
+
+    Args:
+        clock: Source of time.
+        log: Where beliefs about workers are written.
+        lease_limit: Longest lease that a worker grants.
+        connect: Returns the calls of a worker.
+        open_session: Returns the session of a worker.
+        spawn: Runs a coroutine until the term ends.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        lease_limit: timedelta,
+        connect: Callable[[WorkerInfo], WorkerControl],
+        open_session: Callable[[WorkerView], WorkerSession],
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+    ) -> None:
+        self.workers: dict[WorkerId, WorkerView] = {}
+        self.sessions: dict[WorkerId, WorkerSession] = {}
+        self._orphans: dict[WorkerId, tuple[WorkerLease, list[Task]]] = {}
+        self._clock = clock
+        self._log = log
+        self._lease_limit = lease_limit
+        self._connect = connect
+        self._open_session = open_session
+        self._spawn = spawn
+
+    def update(self, worker_id: str, info: WorkerInfo | None) -> None:
+        """Takes a change of the platform's list."""
+        worker = self.workers.get(WorkerId(worker_id))
+        if info is None:
+            if worker is not None:
+                worker.listed = False
+                self._log.write('worker_unlisted', worker=worker_id)
+            return
+        if worker is None:
+            self._add(info)
+            return
+        if info.draining and not worker.info.draining:
+            left = info.remaining and info.remaining.total_seconds()
+            self._log.write('worker_draining', worker=worker_id, remaining_s=left)
+        moved = info.address != worker.info.address
+        worker.info = info
+        worker.listed = True
+        if moved:
+            worker.control = self._connect(info)
+        if not worker.live:
+            self.sessions[worker.worker_id].poke()
+
+    def adopt(self, task: Task) -> None:
+        """Takes a run over from an earlier term.
+
+        Its worker lists it in answer to our first look, or it is not there: the
+        look carries our token, and the worker then refuses orders of that term.
+        """
+        now = self._clock.monotonic()
+        task.started_at = now
+        task.progressed_at = now
+        worker_id = task.worker or WorkerId('')
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.add(task)
+            return
+        fresh: tuple[WorkerLease, list[Task]] = (
+            WorkerLease(self._lease_limit, now),
+            [],
+        )
+        self._orphans.setdefault(worker_id, fresh)[1].append(task)
+
+    def lapsed_orphans(self) -> list[Task]:
+        """Returns adopted runs whose worker never appeared and whose lease is over."""
+        now = self._clock.monotonic()
+        lapsed = [
+            worker_id
+            for worker_id, (lease, _tasks) in self._orphans.items()
+            if lease.lapsed(now)
+        ]
+        return [
+            task for worker_id in lapsed for task in self._orphans.pop(worker_id)[1]
+        ]
+
+    def _add(self, info: WorkerInfo) -> None:
+        lease = WorkerLease(self._lease_limit, self._clock.monotonic())
+        worker = WorkerView(info, self._connect(info), lease)
+        for task in self._orphans.pop(info.worker_id, (lease, ()))[1]:
+            worker.add(task)
+        session = self._open_session(worker)
+        self.workers[info.worker_id] = worker
+        self.sessions[info.worker_id] = session
+        self._spawn(self._run_session(worker, session))
+
+    async def _run_session(self, worker: WorkerView, session: WorkerSession) -> None:
+        await session.run()
+        if self.workers.get(worker.worker_id) is worker:
+            self.workers.pop(worker.worker_id)
+            self.sessions.pop(worker.worker_id)
--- /dev/null
+++ b/chiveworks/dispatch/_job_table.py
@@ -0,0 +1,156 @@
+"""All jobs that have not come to their end, and what of them may start."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable
+from datetime import datetime, timedelta
+
+from chiveworks.base import Clock, JobId
+from chiveworks.dispatch._progress_writer import ProgressWriter
+from chiveworks.events import EventLog
+from chiveworks.workflow import (
+    Job,
+    JobState,
+    StepRun,
+    Submission,
+    Task,
+    TaskRef,
+    TaskState,
+    restore_progress,
+)
+
+
+class JobTable:
+    """Jobs by id; step runs with waiting tasks in the order in which they start.
+
+    Args:
+        clock: Source of time.
+        log: Where decisions are written.
+        writer: Makes changes of jobs durable.
+        stop: Called with a running task of a job that was cancelled or has failed.
+        early: How long before its due time an occurrence may start.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        writer: ProgressWriter,
+        stop: Callable[[Task, str], None],
+        early: timedelta = timedelta(),
+    ) -> None:
+        self.jobs: dict[JobId, Job] = {}
+        self.ready: dict[StepRun, None] = {}
+        self._clock = clock
+        self._log = log
+        self._writer = writer
+        self._stop = stop
+        self._early = early
+        self._due: list[tuple[datetime, JobId, int]] = []
+
+    def add(self, submission: Submission, progress: bytes | None = None) -> Job:
+        """Takes a submission in, with the progress that an earlier term stored."""
+        job = Job(submission, self._clock.monotonic())
+        self.jobs[job.job_id] = job
+        if progress is not None:
+            restore_progress(job, progress)
+        for number in job.occurrences:
+            self._offer(job.occurrences[number])
+        self._schedule(job)
+        if submission.cancelled:
+            self.cancel(job)
+        return job
+
+    def cancel(self, job: Job) -> None:
+        """Ends a job on a client's request; running tasks are stopped."""
+        if not job.state.terminal:
+            self._log.write('job_cancelled', job=job.job_id, state=job.state.value)
+            self._end(job, JobState.CANCELLED)
+
+    def fail(self, job: Job, task: Task) -> None:
+        """Ends a job whose task has failed too often."""
+        self._log.write(
+            'job_failed', job=job.job_id, task=task.ref[1:], failures=task.failures
+        )
+        self._end(job, JobState.FAILED)
+
+    def find(self, ref: TaskRef) -> Task | None:
+        """Returns a task of an open occurrence."""
+        job = self.jobs.get(ref.job_id)
+        runs = job.occurrences.get(ref.occurrence) if job else None
+        if runs is None or ref.step >= len(runs):
+            return None
+        tasks = runs[ref.step].tasks
+        return tasks[ref.position] if ref.position < len(tasks) else None
+
+    def finish(self, task: Task) -> None:
+        """Records that a task is done, and what may start because of it."""
+        run = task.run_of
+        job = run.job
+        run.finish(task)
+        if run.done:
+            self._offer(job.refresh_ready(run.occurrence))
+            job.close_occurrence(run.occurrence)
+        if job.completed and not job.state.terminal:
+            self._log.write('job_completed', job=job.job_id)
+            self._end(job, JobState.COMPLETED)
+        else:
+            self._writer.mark(job)
+
+    def requeue(self, task: Task) -> None:
+        """Lets a task wait for another run after its run has certainly ended."""
+        task.release()
+        job = task.run_of.job
+        self._writer.mark(job)
+        if not job.state.terminal:
+            self.ready[task.run_of] = None
+
+    def open_due(self) -> bool:
+        """Opens the occurrences whose time has come; tells whether there were any."""
+        limit = self._clock.now() + self._early
+        opened = False
+        while self._due and self._due[0][0] <= limit:
+            _due, job_id, number = heapq.heappop(self._due)
+            job = self.jobs.get(job_id)
+            if job is not None and not job.state.terminal:
+                self._offer(job.open_occurrence(number))
+                self._schedule(job)
+                opened = True
+        return opened
+
+    def forget(self, job: Job) -> None:
+        """Drops a job whose end is durable and of which nothing runs."""
+        self.jobs.pop(job.job_id, None)
+
+    def pending(self) -> Counter[str]:
+        """Returns the number of jobs without a started task, by queue."""
+        return Counter(
+            job.queue.name
+            for job in self.jobs.values()
+            if not job.started and not job.state.terminal
+        )
+
+    def _offer(self, runs: Iterable[StepRun]) -> None:
+        for run in runs:
+            if run.ready and not run.done and not run.job.state.terminal:
+                self.ready[run] = None
+
+    def _schedule(self, job: Job) -> None:
+        if job.all_opened or job.state.terminal:
+            return
+        recurrence = job.submission.spec.recurrence
+        number = job.next_occurrence
+        if recurrence is None:
+            self._offer(job.open_occurrence(number))
+        else:
+            heapq.heappush(self._due, (recurrence.due(number), job.job_id, number))
+
+    def _end(self, job: Job, state: JobState) -> None:
+        job.state = state
+        self._writer.mark(job)
+        for runs in job.occurrences.values():
+            for run in runs:
+                self.ready.pop(run, None)
+        for task in job.active_tasks():
+            if task.state is not TaskState.STOPPING:
+                self._stop(task, state.value)
--- /dev/null
+++ b/chiveworks/dispatch/_leader.py
@@ -0,0 +1,137 @@
+"""Contends for leadership and schedules while this process holds it."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from result import Err
+
+from chiveworks.base import Clock, JobId
+from chiveworks.dispatch._scheduler import Scheduler
+from chiveworks.dispatch._worker_info import WorkerInfo
+from chiveworks.events import EventLog
+from chiveworks.metastore import (
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    Election,
+    MetadataStore,
+    Replica,
+    Term,
+)
+from chiveworks.workflow import JobState, Submission, decode_record
+
+_Record = Submission | JobState
+
+
+class SchedulerFactory(Protocol):
+    """Creates the scheduler of a term."""
+
+    def __call__(self, term: Term) -> Scheduler:
+        """Returns a scheduler that gives its orders under `term`."""
+
+
+class Leader:
+    """Runs one term after the other.
+
+    Args:
+        store: Where jobs and workers are listed.
+        clock: Source of time.
+        log: Where terms are written.
+        election: Decides which process leads.
+        create_scheduler: Creates the scheduler of a term.
+        follow_workers: Returns a replica of the workers' entries.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        clock: Clock,
+        log: EventLog,
+        election: Election,
+        create_scheduler: SchedulerFactory,
+        follow_workers: Callable[[], Replica[WorkerInfo]],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._election = election
+        self._create_scheduler = create_scheduler
+        self._follow_workers = follow_workers
+        self._term: Term | None = None
+        self.scheduler: Scheduler | None = None
+
+    async def run(self) -> None:
+        """Contends and leads until cancelled."""
+        while True:
+            self._term = await self._election.campaign()
+            await self._lead(self._term)
+
+    async def resign(self) -> None:
+        """Gives the leadership up, if this process holds it."""
+        if self._term is not None and self._term.valid:
+            await self._term.resign()
+
+    async def _lead(self, term: Term) -> None:
+        keepers = [
+            asyncio.create_task(term.keep()),
+            asyncio.create_task(self._election.watch_term(term)),
+        ]
+        scheduler = self._create_scheduler(term)
+        try:
+            self.scheduler = scheduler
+            followers = await self._recover(term, scheduler)
+            keepers.extend(asyncio.create_task(work) for work in followers)
+            await scheduler.run()
+        finally:
+            self.scheduler = None
+            for keeper in keepers:
+                keeper.cancel()
+            await asyncio.gather(*keepers, return_exceptions=True)
+
+    async def _recover(
+        self, term: Term, scheduler: Scheduler
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Reads what earlier terms stored; returns what follows the changes."""
+        started_at = self._clock.monotonic()
+        progress = await self._read_progress(term)
+        workers = self._follow_workers()
+        workers.subscribe(scheduler.fleet.update)
+        jobs: Replica[_Record] = Replica(
+            self._store, JOB_PREFIX, _decode_record, self._clock, self._log
+        )
+
+        def take(name: str, record: _Record | None) -> None:
+            if isinstance(record, Submission):
+                scheduler.accept(record, progress.pop(name, None))
+
+        jobs.subscribe(take)
+        for replica in (workers, jobs):
+            while term.valid and not replica.synced:
+                await replica.step()
+        took = self._clock.monotonic() - started_at
+        self._log.write(
+            'state_recovered',
+            token=term.token,
+            jobs=len(scheduler.table.jobs),
+            workers=len(workers.entries),
+            took_s=took.total_seconds(),
+        )
+        return [workers.run(), jobs.run()]
+
+    async def _read_progress(self, term: Term) -> dict[str, bytes]:
+        while term.valid:
+            answer = await self._store.read_all(PROGRESS_PREFIX)
+            if not isinstance(answer, Err):
+                return {
+                    item.key[len(PROGRESS_PREFIX) :]: item.content
+                    for item in answer.ok_value.items
+                    if item.content is not None
+                }
+        return {}
+
+
+def _decode_record(name: str, content: bytes) -> _Record | None:
+    try:
+        return decode_record(JobId(name), content)
+    except ValueError:
+        return None
--- /dev/null
+++ b/chiveworks/dispatch/_orders.py
@@ -0,0 +1,210 @@
+"""Sends starts, stops and paces, and resolves what became of them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, Final
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._worker_control import OrderOutcome, StartOrder
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.metastore import Term
+from chiveworks.workflow import Task, TaskRef, TaskState
+
+#: Pause before an order without an answer is sent again.
+RETRY_PAUSE: Final = timedelta(milliseconds=100)
+#: Sendings of a start before it is withdrawn.
+START_SENDINGS: Final = 3
+#: Time without work for a worker that refused a start as unhealthy.
+UNHEALTHY_PAUSE: Final = timedelta(seconds=1)
+#: Time without work for a worker that had less room than the scheduler knew.
+ROOM_PAUSE: Final = timedelta(milliseconds=300)
+
+_CERTAINLY_STOPPED = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED))
+
+
+class Orders:
+    """Carries decisions to workers; every call is bound to the term.
+
+    Args:
+        term: Leadership under which orders are given.
+        clock: Source of time.
+        log: Where decisions are written.
+        workers: Workers by id.
+        released: Called with a task whose run certainly did not start.
+        spawn: Runs a coroutine beside the caller until the term ends.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        clock: Clock,
+        log: EventLog,
+        workers: dict[WorkerId, WorkerView],
+        released: Callable[[WorkerView, Task, str], None],
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+    ) -> None:
+        self._term = term
+        self._clock = clock
+        self._log = log
+        self._workers = workers
+        self._released = released
+        self._spawn = spawn
+        self._withdrawing: set[tuple[WorkerId, TaskRef, int]] = set()
+
+    def start(self, task: Task, ticket: str = '') -> None:
+        """Sends the start of a claimed run whose claim is durable."""
+        task.sent = True
+        self._spawn(self._start(task, self._workers[_worker_of(task)], ticket))
+
+    def stop(self, task: Task, reason: str) -> None:
+        """Stops the current run; its room is free once its end is known."""
+        worker = self._workers.get(_worker_of(task))
+        if worker is None:
+            return
+        self._log_order('run_stopping', task, worker, reason=reason)
+        if task.state is TaskState.CLAIMED and not task.sent:
+            self._released(worker, task, reason)
+            return
+        if task.active:
+            task.state = TaskState.STOPPING
+        self._spawn(self._stop(task, worker))
+
+    def withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
+        """Stops a run that the scheduler did not ask this worker for."""
+        key = (worker.worker_id, ref, attempt)
+        if key not in self._withdrawing:
+            self._withdrawing.add(key)
+            self._spawn(self._withdraw(worker, ref, attempt))
+
+    def set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
+        """Lets a run work at a share of its speed."""
+        task.pace_percent = percent
+        self._spawn(self._pace(worker, task, percent))
+
+    async def _start(self, task: Task, worker: WorkerView, ticket: str) -> None:
+        attempt = task.attempt
+        unanswered = 0
+        while _still(task, attempt, TaskState.CLAIMED) and self._term.valid:
+            outcome = await self._send_start(task, worker, ticket)
+            if not _still(task, attempt, TaskState.CLAIMED):
+                return
+            if outcome is OrderOutcome.UNKNOWN:
+                unanswered += 1
+                if unanswered >= START_SENDINGS:
+                    task.state = TaskState.STOPPING
+                    await self._stop(task, worker)
+                    return
+                await self._clock.sleep(RETRY_PAUSE)
+                continue
+            await self._conclude(task, worker, outcome, certain=not unanswered)
+            return
+
+    async def _send_start(
+        self, task: Task, worker: WorkerView, ticket: str
+    ) -> OrderOutcome:
+        lease_end = worker.lease.extend(self._clock.monotonic())
+        if lease_end is None:
+            return OrderOutcome.UNHEALTHY
+        order = StartOrder(
+            task.ref,
+            task.attempt,
+            task.run_of.job.submission.spec.payload,
+            lease_end,
+            self._term.token,
+            task.checkpoint,
+            ticket,
+        )
+        return await worker.control.start(order)
+
+    async def _conclude(
+        self, task: Task, worker: WorkerView, outcome: OrderOutcome, *, certain: bool
+    ) -> None:
+        if outcome is OrderOutcome.ACCEPTED:
+            task.state = TaskState.RUNNING
+            task.started_at = self._clock.monotonic()
+            task.progressed_at = task.started_at
+            self._log_order('run_started', task, worker)
+            return
+        self._log_order('start_refused', task, worker, outcome=outcome.value)
+        self._judge_refusal(worker, task, outcome)
+        if certain:
+            self._released(worker, task, outcome.value)
+        else:
+            # An earlier sending may still be carried out.
+            task.state = TaskState.STOPPING
+            await self._stop(task, worker)
+
+    def _judge_refusal(
+        self, worker: WorkerView, task: Task, outcome: OrderOutcome
+    ) -> None:
+        now = self._clock.monotonic()
+        if outcome is OrderOutcome.FENCED:
+            self._term.end('a worker has seen a higher token')
+        elif outcome is OrderOutcome.UNHEALTHY:
+            worker.quarantined_until = now + UNHEALTHY_PAUSE
+        elif outcome is OrderOutcome.NO_ROOM:
+            worker.quarantined_until = now + ROOM_PAUSE
+        elif outcome in {OrderOutcome.GONE, OrderOutcome.INVALID}:
+            task.avoided.add(worker.worker_id)
+
+    async def _stop(self, task: Task, worker: WorkerView) -> None:
+        attempt = task.attempt
+        while task.ref in worker.tasks and task.attempt == attempt:
+            if not self._term.valid:
+                return
+            outcome = await worker.control.stop(task.ref, attempt, self._term.token)
+            if outcome in _CERTAINLY_STOPPED:
+                # A look from now on lists the run, or it never will be there.
+                if task.started_at is None:
+                    task.started_at = self._clock.monotonic()
+                return
+            if outcome is OrderOutcome.FENCED:
+                self._term.end('a worker has seen a higher token')
+            await self._clock.sleep(RETRY_PAUSE)
+
+    async def _withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
+        self._log.write(
+            'run_withdrawn',
+            job=ref.job_id,
+            task=ref[1:],
+            attempt=attempt,
+            worker=worker.worker_id,
+        )
+        if self._term.valid:
+            await worker.control.stop(ref, attempt, self._term.token)
+        await self._clock.sleep(RETRY_PAUSE * 3)
+        self._withdrawing.discard((worker.worker_id, ref, attempt))
+
+    async def _pace(self, worker: WorkerView, task: Task, percent: int) -> None:
+        attempt = task.attempt
+        if self._term.valid:
+            outcome = await worker.control.set_pace(
+                task.ref, attempt, percent, self._term.token
+            )
+            self._log_order(
+                'run_paced', task, worker, percent=percent, outcome=outcome.value
+            )
+            if outcome is not OrderOutcome.ACCEPTED and task.attempt == attempt:
+                task.pace_percent = -1
+
+    def _log_order(
+        self, event: str, task: Task, worker: WorkerView, **fields: object
+    ) -> None:
+        self._log.write(
+            event,
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            attempt=task.attempt,
+            worker=worker.worker_id,
+            **fields,
+        )
+
+
+def _still(task: Task, attempt: int, state: TaskState) -> bool:
+    return task.attempt == attempt and task.state is state
+
+
+def _worker_of(task: Task) -> WorkerId:
+    return task.worker or WorkerId('')
--- /dev/null
+++ b/chiveworks/dispatch/_progress_writer.py
@@ -0,0 +1,91 @@
+"""Writes changed progress to the store, many jobs in one transaction."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Final
+
+from chiveworks.base import Clock
+from chiveworks.metastore import Term, job_key, progress_key
+from chiveworks.workflow import Job, encode_end, encode_progress
+
+#: Entries of a transaction, less the two that the chain of writes needs.
+BATCH_ENTRIES: Final = 30
+#: Least time between two writes; changes in between share a transaction.
+WRITE_GAP: Final = timedelta(milliseconds=12)
+
+
+class ProgressWriter:
+    """Collects changed jobs and makes them durable in order.
+
+    Args:
+        term: Chain of writes.
+        clock: Source of time.
+        on_durable: Called with each job whose latest written state is durable.
+    """
+
+    def __init__(
+        self, term: Term, clock: Clock, on_durable: Callable[[Job], None]
+    ) -> None:
+        self._term = term
+        self._clock = clock
+        self._on_durable = on_durable
+        self._changed: dict[str, Job] = {}
+        self._removals: list[str] = []
+        self._wake = asyncio.Event()
+        self._extra: dict[str, bytes] = {}
+
+    def mark(self, job: Job) -> None:
+        """Notes that the progress of a job has changed."""
+        job.version += 1
+        self._changed[job.job_id] = job
+        self._wake.set()
+
+    def put(self, key: str, content: bytes) -> None:
+        """Writes another key with the next transaction."""
+        self._extra[key] = content
+        self._wake.set()
+
+    def remove(self, key: str) -> None:
+        """Removes a key with a later transaction."""
+        self._removals.append(key)
+
+    async def run(self) -> None:
+        """Writes changes as they come.
+
+        Raises:
+            TermLostError: The term has ended.
+        """
+        while True:
+            await self._wake.wait()
+            await self._write_batch()
+            if not self._changed and not self._extra:
+                self._wake.clear()
+            await self._clock.sleep(WRITE_GAP)
+
+    async def _write_batch(self) -> None:
+        writes = self._extra
+        self._extra = {}
+        removals: list[str] = []
+        batch: list[tuple[Job, int]] = []
+        while self._changed and len(writes) + len(removals) < BATCH_ENTRIES - 1:
+            job = self._changed.pop(next(iter(self._changed)))
+            batch.append((job, job.version))
+            _encode(job, writes, removals)
+        room = BATCH_ENTRIES - len(writes) - len(removals)
+        removals.extend(self._removals[:room])
+        self._removals = self._removals[room:]
+        await self._term.write(writes, removals)
+        for job, version in batch:
+            job.durable_version = version
+            self._on_durable(job)
+
+
+def _encode(job: Job, writes: dict[str, bytes], removals: list[str]) -> None:
+    # The submission is kept until nothing of the job runs: a new leader needs it
+    # to stop the rest.
+    if job.state.terminal and not job.active_tasks():
+        writes[job_key(job.job_id)] = encode_end(job.state)
+        removals.append(progress_key(job.job_id))
+    else:
+        writes[progress_key(job.job_id)] = encode_progress(job)
--- /dev/null
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -0,0 +1,175 @@
+"""Applies what workers report to the tasks that they run."""
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from chiveworks.base import Clock
+from chiveworks.dispatch._health import WorkerHealth
+from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._progress_writer import ProgressWriter
+from chiveworks.dispatch._worker_control import EndKind, EndRow, RunRow, WorkerReport
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import Task, TaskRef, TaskState
+
+#: A worker lists at most this many ends at once; below it the list is complete.
+END_PAGE = 500
+
+
+class RunTracker:
+    """Matches workers' lists with the claims of the scheduler.
+
+    Args:
+        clock: Source of time.
+        log: Where decisions are written.
+        table: Jobs.
+        writer: Makes changes durable.
+        health: Judges workers by how their runs end.
+        changed: Called when room or tasks may have become available.
+        stop: Called with a task whose run is to be stopped.
+        withdraw: Called with a run that nobody asked the worker for.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        table: JobTable,
+        writer: ProgressWriter,
+        health: WorkerHealth,
+        changed: Callable[[], None],
+        stop: Callable[[Task, str], None],
+        withdraw: Callable[[WorkerView, TaskRef, int], None],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._table = table
+        self._writer = writer
+        self._health = health
+        self._changed = changed
+        self._stop = stop
+        self._withdraw = withdraw
+
+    def apply(
+        self, worker: WorkerView, report: WorkerReport, asked_at: timedelta
+    ) -> None:
+        """Applies a report to a look that was sent at `asked_at`."""
+        listed = self._apply_running(worker, report.running)
+        for end in report.ended:
+            if end.number > worker.applied_end:
+                self._apply_end(worker, end)
+        if len(report.ended) < END_PAGE:
+            self._release_missing(worker, listed, asked_at)
+
+    def release_all(self, worker: WorkerView, reason: str) -> None:
+        """Releases all runs of a worker on which certainly none is left."""
+        for task in tuple(worker.tasks.values()):
+            self.release(worker, task, reason)
+
+    def release(self, worker: WorkerView, task: Task, reason: str) -> None:
+        """Releases one run that has certainly ended without a report."""
+        self._log.write(
+            'run_lost',
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            attempt=task.attempt,
+            worker=worker.worker_id,
+            reason=reason,
+        )
+        worker.remove(task)
+        if task.active:
+            self._table.requeue(task)
+        self._changed()
+
+    def _apply_running(
+        self, worker: WorkerView, rows: Sequence[RunRow]
+    ) -> set[TaskRef]:
+        now = self._clock.monotonic()
+        listed = set()
+        for row in rows:
+            task = worker.tasks.get(row.ref)
+            if task is None or task.attempt != row.attempt:
+                self._withdraw(worker, row.ref, row.attempt)
+                continue
+            listed.add(row.ref)
+            _update(task, row, now)
+        return listed
+
+    def _apply_end(self, worker: WorkerView, end: EndRow) -> None:
+        worker.applied_end = end.number
+        task = self._table.find(end.ref)
+        job = None
+        if task is not None:
+            job = task.run_of.job
+            self._end_run(worker, task, end)
+        version = job.version if job else 0
+        worker.unacknowledged.append((end.number, job, version))
+
+    def _end_run(self, worker: WorkerView, task: Task, end: EndRow) -> None:
+        current = task.attempt == end.attempt and task.worker == worker.worker_id
+        if current:
+            worker.remove(task)
+        self._log.write(
+            'run_ended',
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            attempt=end.attempt,
+            worker=worker.worker_id,
+            how=end.kind.value,
+            current=current,
+        )
+        if end.kind is EndKind.DONE and task.state is not TaskState.DONE:
+            self._finish(worker, task, current=current)
+        elif current and task.state is not TaskState.DONE:
+            self._end_unfinished(worker, task, end)
+        self._changed()
+
+    def _finish(self, worker: WorkerView, task: Task, *, current: bool) -> None:
+        self._health.record_done(worker)
+        if not current and task.active:
+            # The lease of this run had lapsed, so another one was started. Its
+            # result stands; the other run has nothing left to do.
+            self._stop(task, 'done elsewhere')
+        self._table.finish(task)
+
+    def _end_unfinished(self, worker: WorkerView, task: Task, end: EndRow) -> None:
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        self._table.requeue(task)
+        if end.kind is EndKind.FAILED:
+            task.failures += 1
+            self._health.record_failure(worker, task)
+            if self._exhausted(task):
+                self._table.fail(task.run_of.job, task)
+
+    def _exhausted(self, task: Task) -> bool:
+        job = task.run_of.job
+        if task.spec.long_running or job.state.terminal:
+            return False
+        return task.failures >= job.queue.attempt_limit
+
+    def _release_missing(
+        self, worker: WorkerView, listed: set[TaskRef], asked_at: timedelta
+    ) -> None:
+        for ref, task in tuple(worker.tasks.items()):
+            if ref not in listed and _settled_before(task, asked_at):
+                self.release(worker, task, 'not listed by the worker')
+
+
+def _update(task: Task, row: RunRow, now: timedelta) -> None:
+    if task.state is TaskState.CLAIMED:
+        task.state = TaskState.RUNNING
+    if task.started_at is None:
+        task.started_at = now
+        task.progressed_at = now
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
+    if row.percent != task.progress_percent:
+        task.progress_percent = row.percent
+        task.progressed_at = now
+    task.measured = row.measured
+
+
+def _settled_before(task: Task, asked_at: timedelta) -> bool:
+    """Whether the worker must list the run if it is there."""
+    return task.started_at is not None and task.started_at < asked_at
--- /dev/null
+++ b/chiveworks/dispatch/_scheduler.py
@@ -0,0 +1,238 @@
+"""Schedules all tasks during one term of leadership."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, Final
+
+import msgpack
+
+from chiveworks.base import Clock, JobId, ZoneName
+from chiveworks.dispatch._assigner import Assigner
+from chiveworks.dispatch._bounds import SchedulingBounds
+from chiveworks.dispatch._drainer import Drainer
+from chiveworks.dispatch._fleet import Fleet
+from chiveworks.dispatch._health import WorkerHealth
+from chiveworks.dispatch._interference_guard import InterferenceGuard
+from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._progress_writer import ProgressWriter
+from chiveworks.dispatch._run_tracker import RunTracker
+from chiveworks.dispatch._worker_control import WorkerControl
+from chiveworks.dispatch._worker_info import WorkerInfo
+from chiveworks.dispatch._worker_session import WorkerSession
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.metastore import PENDING_KEY, Term, TermLostError, job_key
+from chiveworks.workflow import (
+    Job,
+    JobState,
+    Submission,
+    Task,
+    TaskState,
+)
+
+#: How often due times, ends to forget and counts are looked at.
+TICK: Final = timedelta(milliseconds=50)
+#: How often the number of waiting jobs is published; readers allow 2 s.
+PENDING_GAP: Final = timedelta(milliseconds=700)
+#: Least time between two rounds of assignment.
+ROUND_GAP: Final = timedelta(milliseconds=4)
+
+
+class Scheduler:
+    """Assigns waiting tasks to workers, as events and room come.
+
+    Args:
+        term: Leadership under which it schedules.
+        clock: Source of time.
+        log: Where decisions are written.
+        bounds: Limits of the deployment.
+        connect: Returns the calls of a worker.
+        service_of: Returns the service that now runs a queue's tasks.
+        evacuated: Tells whether nothing may start in a zone.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        clock: Clock,
+        log: EventLog,
+        bounds: SchedulingBounds,
+        connect: Callable[[WorkerInfo], WorkerControl],
+        service_of: Callable[[Job], str],
+        evacuated: Callable[[ZoneName], bool],
+    ) -> None:
+        self._term = term
+        self._clock = clock
+        self._log = log
+        self._bounds = bounds
+        self._wake = asyncio.Event()
+        self._children: set[asyncio.Task[None]] = set()
+        self._ended: deque[tuple[timedelta, JobId]] = deque()
+        self._published: bytes = b''
+        self._unsent: dict[JobId, list[Task]] = {}
+        self.writer = ProgressWriter(term, clock, self._on_durable)
+        self.fleet = Fleet(
+            clock, log, bounds.lease_limit, connect, self._open_session, self._spawn
+        )
+        self.orders = Orders(
+            term, clock, log, self.fleet.workers, self._on_released, self._spawn
+        )
+        self.table = JobTable(
+            clock, log, self.writer, self.orders.stop, bounds.early_limit
+        )
+        self.tracker = RunTracker(
+            clock,
+            log,
+            self.table,
+            self.writer,
+            WorkerHealth(clock, log),
+            self._wake.set,
+            self.orders.stop,
+            self.orders.withdraw,
+        )
+        self._assigner = Assigner(
+            clock,
+            log,
+            self.table,
+            Placer(clock, self.fleet.workers, evacuated),
+            service_of,
+        )
+        self._drainer = Drainer(clock, self.fleet.workers, self.orders)
+        self._guard = InterferenceGuard(clock, self.orders)
+
+    async def run(self) -> None:
+        """Schedules until the term is lost."""
+        writer = self._spawn(self._write())
+        ticker = self._spawn(self._tick())
+        try:
+            while self._term.valid:
+                await self._wake.wait()
+                self._wake.clear()
+                self._assign()
+                await self._clock.sleep(ROUND_GAP)
+        finally:
+            await self._stop_children()
+        writer.cancel()
+        ticker.cancel()
+
+    def accept(self, submission: Submission, progress: bytes | None = None) -> None:
+        """Takes a job in, or the cancelling of one that is known."""
+        job = self.table.jobs.get(submission.job_id)
+        if job is None:
+            job = self.table.add(submission, progress)
+            self._log.write(
+                'job_taken', job=job.job_id, queue=job.queue.name, resumed=bool(progress)
+            )
+            for task in job.active_tasks():
+                self.fleet.adopt(task)
+            self._settle_restored(job)
+        elif submission.cancelled:
+            self.table.cancel(job)
+        self._wake.set()
+
+    def wake(self) -> None:
+        """Looks for tasks to start soon."""
+        self._wake.set()
+
+    def _settle_restored(self, job: Job) -> None:
+        if job.completed and not job.state.terminal:
+            job.state = JobState.COMPLETED
+        if job.state.terminal:
+            for task in job.active_tasks():
+                self.orders.stop(task, job.state.value)
+            self.writer.mark(job)
+
+    def _assign(self) -> None:
+        for task in self._assigner.assign():
+            job = task.run_of.job
+            job.started = True
+            if job.state is JobState.QUEUED:
+                job.state = JobState.RUNNING
+            self.writer.mark(job)
+            task.claim_version = job.version
+            self._unsent.setdefault(job.job_id, []).append(task)
+
+    def _on_durable(self, job: Job) -> None:
+        claims = self._unsent.pop(job.job_id, [])
+        for task in claims:
+            if task.state is not TaskState.CLAIMED or task.sent:
+                continue
+            if task.claim_version <= job.durable_version:
+                self.orders.start(task)
+            else:
+                self._unsent.setdefault(job.job_id, []).append(task)
+        if job.state.terminal and job.version == job.durable_version:
+            if not job.active_tasks():
+                self.table.forget(job)
+                self._ended.append((self._clock.monotonic(), job.job_id))
+
+    def _on_released(self, worker: WorkerView, task: Task, reason: str) -> None:
+        self.tracker.release(worker, task, reason)
+
+    def _on_report(self, worker: WorkerView) -> None:
+        session = self.fleet.sessions.get(worker.worker_id)
+        watchful = self._guard.observe(worker)
+        if session is not None:
+            session.watchful = watchful
+
+    def _open_session(self, worker: WorkerView) -> WorkerSession:
+        self._wake.set()
+        return WorkerSession(
+            self._term, self._clock, self._log, worker, self.tracker, self._on_report
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        child = asyncio.create_task(work)
+        self._children.add(child)
+        child.add_done_callback(self._reap)
+        return child
+
+    def _reap(self, child: asyncio.Task[None]) -> None:
+        self._children.discard(child)
+        if child.cancelled():
+            return
+        error = child.exception()
+        if error is not None:
+            self._log.write('child_failed', error=repr(error))
+            self._term.end(f'a part of the scheduler failed: {error!r}')
+
+    async def _stop_children(self) -> None:
+        children = tuple(self._children)
+        for child in children:
+            child.cancel()
+        await asyncio.gather(*children, return_exceptions=True)
+
+    async def _write(self) -> None:
+        with contextlib.suppress(TermLostError):
+            await self.writer.run()
+
+    async def _tick(self) -> None:
+        published_at = timedelta()
+        while self._term.valid:
+            await self._clock.sleep(TICK)
+            now = self._clock.monotonic()
+            if self.table.open_due() or self.table.ready:
+                self._wake.set()
+            for task in self.fleet.lapsed_orphans():
+                self.table.requeue(task)
+            self._drainer.check()
+            self._forget_old(now)
+            if now - published_at > PENDING_GAP:
+                published_at = now
+                self._publish_pending()
+        self._wake.set()
+
+    def _publish_pending(self) -> None:
+        packed: bytes = msgpack.packb(dict(self.table.pending()))
+        if packed != self._published:
+            self._published = packed
+            self.writer.put(PENDING_KEY, packed)
+
+    def _forget_old(self, now: timedelta) -> None:
+        while self._ended and now - self._ended[0][0] > 2 * self._bounds.retention:
+            self.writer.remove(job_key(self._ended.popleft()[1]))
--- /dev/null
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -0,0 +1,56 @@
+"""When the runs on a worker have certainly lost their lease."""
+
+from datetime import timedelta
+from typing import Final
+
+#: A worker's clock may run this much slower than true time (platform's page).
+CLOCK_DRIFT: Final = 0.02
+#: Covers rounding to milliseconds and the delay of the worker's own timer.
+LAPSE_SLACK: Final = timedelta(milliseconds=150)
+
+
+class WorkerLease:
+    """Estimate of one worker's clock, and of the end of its lease.
+
+    Args:
+        limit: Longest lease that a worker grants.
+        now: Time at which the scheduler began its term; a former one may have
+            extended the lease up to then.
+    """
+
+    def __init__(self, limit: timedelta, now: timedelta) -> None:
+        self._limit = limit
+        self._lapses_at = now + limit / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+        self._clock: timedelta | None = None
+        self._heard_at = now
+        self._highest_end = timedelta()
+
+    @property
+    def known(self) -> bool:
+        """Whether the worker's clock has been heard."""
+        return self._clock is not None
+
+    def hear(self, clock: timedelta, now: timedelta) -> None:
+        """Takes the worker's clock from an answer received at `now`."""
+        self._clock = clock
+        self._heard_at = now
+
+    def restart(self, now: timedelta) -> None:
+        """Forgets the clock of an incarnation that is gone."""
+        self._clock = None
+        self._heard_at = now
+        self._highest_end = timedelta()
+
+    def extend(self, now: timedelta) -> timedelta | None:
+        """Returns the lease end to send at `now`; None before the clock is known."""
+        if self._clock is None:
+            return None
+        end = self._clock + (now - self._heard_at) + self._limit
+        self._highest_end = max(self._highest_end, end)
+        left = self._highest_end - self._clock
+        self._lapses_at = self._heard_at + left / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+        return end
+
+    def lapsed(self, now: timedelta) -> bool:
+        """Whether every run that was on the worker has ended for want of a lease."""
+        return now >= self._lapses_at
--- /dev/null
+++ b/chiveworks/dispatch/_worker_session.py
@@ -0,0 +1,145 @@
+"""Keeps in touch with one worker: extends its lease and takes its reports."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Final
+
+from result import Err
+
+from chiveworks.base import Clock
+from chiveworks.dispatch._run_tracker import RunTracker
+from chiveworks.dispatch._worker_control import WorkerReport
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.metastore import Term
+
+#: Longest wait of one look; the lease is extended at least this often.
+LOOK_WAIT: Final = timedelta(milliseconds=900)
+#: Wait while a serving task is close to its latency target.
+WATCHFUL_WAIT: Final = timedelta(milliseconds=400)
+#: Least time between two looks, so that ends that come together share one.
+LOOK_GAP: Final = timedelta(milliseconds=25)
+#: Pause after a look without an answer.
+RETRY_PAUSE: Final = timedelta(milliseconds=200)
+#: Longest wait for the effects of ends to become durable before the next look.
+DURABLE_WAIT: Final = timedelta(milliseconds=300)
+
+
+class WorkerSession:
+    """Looks at a worker until it is gone or the term ends.
+
+    Args:
+        term: Leadership under which the lease is extended.
+        clock: Source of time.
+        log: Where lost and regained contact is written.
+        worker: Worker to look at.
+        tracker: Applies reports.
+        reported: Called after each report has been applied.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        clock: Clock,
+        log: EventLog,
+        worker: WorkerView,
+        tracker: RunTracker,
+        reported: Callable[[WorkerView], None],
+    ) -> None:
+        self._term = term
+        self._clock = clock
+        self._log = log
+        self._worker = worker
+        self._tracker = tracker
+        self._reported = reported
+        self._wake = asyncio.Event()
+        self.watchful = False
+
+    def poke(self) -> None:
+        """Ends the pause before the next look."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Looks at the worker until it has left and runs nothing."""
+        worker = self._worker
+        wait = timedelta()
+        while worker.listed or worker.tasks:
+            if await self._look(wait):
+                wait = await self._pause_after_report()
+            else:
+                wait = timedelta()
+                self._check_lapse()
+                await self._pause(RETRY_PAUSE)
+        await worker.control.close()
+
+    async def _look(self, wait: timedelta) -> bool:
+        worker = self._worker
+        asked_at = self._clock.monotonic()
+        lease_end = worker.lease.extend(asked_at) if self._term.valid else None
+        answer = await worker.control.hold(
+            self._term.token, worker.acknowledge(), lease_end, wait
+        )
+        if isinstance(answer, Err):
+            await self._note_silence(str(answer.err_value))
+            return False
+        if answer.ok_value is None:
+            self._tracker.release_all(worker, 'another incarnation answers')
+            return False
+        self._take(answer.ok_value, asked_at)
+        return True
+
+    def _take(self, report: WorkerReport, asked_at: timedelta) -> None:
+        worker = self._worker
+        now = self._clock.monotonic()
+        first = not worker.live or not worker.lease.known
+        if worker.born_ms and report.born_ms and report.born_ms != worker.born_ms:
+            self._note_restart(report.born_ms, now)
+        if report.born_ms:
+            worker.born_ms = report.born_ms
+        worker.lease.hear(report.clock, now)
+        if not worker.live:
+            worker.live = True
+            self._log.write('worker_reached', worker=worker.worker_id)
+        self._tracker.apply(worker, report, asked_at)
+        if first:
+            self.poke()
+        self._reported(worker)
+
+    def _note_restart(self, born_ms: int, now: timedelta) -> None:
+        worker = self._worker
+        self._log.write('worker_restarted', worker=worker.worker_id, born_ms=born_ms)
+        for task in tuple(worker.tasks.values()):
+            if task.started_at is not None:
+                self._tracker.release(worker, task, 'the worker has restarted')
+        worker.restart(born_ms, now)
+
+    async def _note_silence(self, reason: str) -> None:
+        worker = self._worker
+        if worker.live:
+            worker.live = False
+            self._log.write('worker_silent', worker=worker.worker_id, reason=reason)
+        await worker.control.reset()
+
+    def _check_lapse(self) -> None:
+        worker = self._worker
+        if worker.tasks and worker.lease.lapsed(self._clock.monotonic()):
+            self._tracker.release_all(worker, 'the lease has lapsed')
+
+    async def _pause_after_report(self) -> timedelta:
+        """Pauses before the next look; returns how long that one may wait."""
+        await self._pause(LOOK_GAP)
+        worker = self._worker
+        started_at = self._clock.monotonic()
+        while worker.unacknowledged and worker.acknowledge() < worker.applied_end:
+            # A look returns at once while ends are not acknowledged.
+            if self._clock.monotonic() - started_at > DURABLE_WAIT:
+                return timedelta()
+            await self._clock.sleep(LOOK_GAP / 2)
+        return WATCHFUL_WAIT if self.watchful else LOOK_WAIT
+
+    async def _pause(self, duration: timedelta) -> None:
+        if self._wake.is_set():
+            self._wake.clear()
+            return
+        await self._clock.sleep(duration)
--- /dev/null
+++ b/chiveworks/dispatch/_worker_view.py
@@ -0,0 +1,101 @@
+"""What the scheduler knows of one worker."""
+
+from collections import deque
+from datetime import timedelta
+
+from chiveworks.base import WorkerId
+from chiveworks.dispatch._worker_control import WorkerControl
+from chiveworks.dispatch._worker_info import WorkerInfo
+from chiveworks.dispatch._worker_lease import WorkerLease
+from chiveworks.workflow import Job, Task, TaskRef
+
+
+class WorkerView:
+    """Room, runs, lease and health of a worker.
+
+    A run holds its room from the claim until its end is known for certain.
+
+    Attributes:
+        info: Latest entry of the platform's list.
+        listed: Whether the platform's list still names the worker.
+        control: Calls of the worker.
+        lease: Estimate of its lease.
+        live: Whether the latest look was answered.
+        tasks: Tasks that are claimed for it or run on it.
+        cpu_millicores: Processor claims of tasks that do not fill.
+        fill_millicores: Processor claims of tasks that fill.
+        memory_bytes: Memory claims.
+        accelerators: Accelerator claims.
+        born_ms: Incarnation that answered last; 0 before the first answer.
+        applied_end: Number of the last end that was applied.
+        acknowledged: Number of the last end whose effect is durable.
+        unacknowledged: Applied ends, each with the record version to wait for.
+        failure_streak: Failed runs since the last run that was done.
+        quarantined_until: Until when it gets no further work.
+        fill_pace_percent: Share of their speed at which filling tasks work.
+    """
+
+    def __init__(
+        self, info: WorkerInfo, control: WorkerControl, lease: WorkerLease
+    ) -> None:
+        self.info = info
+        self.listed = True
+        self.control = control
+        self.lease = lease
+        self.live = False
+        self.tasks: dict[TaskRef, Task] = {}
+        self.cpu_millicores = 0
+        self.fill_millicores = 0
+        self.memory_bytes = 0
+        self.accelerators = 0
+        self.born_ms = 0
+        self.applied_end = 0
+        self.acknowledged = 0
+        self.unacknowledged: deque[tuple[int, Job | None, int]] = deque()
+        self.failure_streak = 0
+        self.quarantined_until = timedelta()
+        self.fill_pace_percent = 100
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """Id of the worker."""
+        return self.info.worker_id
+
+    def add(self, task: Task) -> None:
+        """Takes room for a run."""
+        self.tasks[task.ref] = task
+        self._count(task, 1)
+
+    def remove(self, task: Task) -> None:
+        """Frees the room of a run that has certainly ended."""
+        if self.tasks.pop(task.ref, None) is not None:
+            self._count(task, -1)
+
+    def acknowledge(self) -> int:
+        """Returns the number up to which all ends have durable effects."""
+        pending = self.unacknowledged
+        while pending and _durable(pending[0][1], pending[0][2]):
+            self.acknowledged = pending.popleft()[0]
+        return self.acknowledged
+
+    def restart(self, born_ms: int, now: timedelta) -> None:
+        """Forgets what belonged to an incarnation that is gone."""
+        self.born_ms = born_ms
+        self.applied_end = 0
+        self.acknowledged = 0
+        self.unacknowledged.clear()
+        self.lease.restart(now)
+        self.fill_pace_percent = 100
+
+    def _count(self, task: Task, sign: int) -> None:
+        demand = task.spec.demand
+        if task.spec.fills:
+            self.fill_millicores += sign * demand.cpu_millicores
+        else:
+            self.cpu_millicores += sign * demand.cpu_millicores
+        self.memory_bytes += sign * demand.memory_bytes
+        self.accelerators += sign * demand.accelerators
+
+
+def _durable(job: Job | None, version: int) -> bool:
+    return job is None or job.durable_version >= version
--- /dev/null
+++ b/chiveworks/intake/__init__.py
@@ -0,0 +1,16 @@
+"""Requests of clients: submitting, cancelling and asking for jobs."""
+
+from chiveworks.intake._job_intake import IntakeVerdict, JobIntake
+from chiveworks.intake._queue_catalogue import (
+    IntakeLimits,
+    QueueCatalogue,
+    QueueRoute,
+)
+
+__all__ = (
+    'IntakeLimits',
+    'IntakeVerdict',
+    'JobIntake',
+    'QueueCatalogue',
+    'QueueRoute',
+)
--- /dev/null
+++ b/chiveworks/intake/_job_intake.py
@@ -0,0 +1,162 @@
+"""Takes jobs in, cancels them and tells their state, through the store alone."""
+
+import enum
+from dataclasses import replace
+from datetime import timedelta
+from typing import Final
+
+import msgpack
+from result import Err
+
+from chiveworks.base import Clock, JobId, Revision, Verdict
+from chiveworks.events import EventLog
+from chiveworks.metastore import (
+    PENDING_KEY,
+    Change,
+    Committed,
+    MetadataStore,
+    StoreItem,
+    job_key,
+    progress_key,
+)
+from chiveworks.workflow import (
+    JobState,
+    Submission,
+    decode_record,
+    encode_submission,
+)
+
+#: Time after which a write without an answer is reported as unknown. Clients wait
+#: 3 s and repeat the request, which is then resolved by its id.
+RESOLVE_LIMIT: Final = timedelta(milliseconds=1800)
+#: Pause before an unanswered write is sent again.
+RETRY_PAUSE: Final = timedelta(milliseconds=40)
+#: Age up to which published counts are given out; the platform allows 2 s, and
+#: the leader publishes every 0.7 s.
+COUNT_AGE: Final = timedelta(milliseconds=500)
+
+
+class IntakeVerdict(enum.Enum):
+    """What became of a request."""
+
+    ACCEPTED = 'accepted'
+    #: Certainly without effect; the client may come back.
+    REFUSED = 'refused'
+    #: It may or may not have had an effect.
+    UNKNOWN = 'unknown'
+    NOT_FOUND = 'not_found'
+
+
+class JobIntake:
+    """Requests of clients, each answered from the store.
+
+    Args:
+        store: Where jobs are kept.
+        clock: Source of time.
+        log: Where decisions are written.
+    """
+
+    def __init__(self, store: MetadataStore, clock: Clock, log: EventLog) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._counts: dict[str, int] = {}
+        self._counted_at: timedelta | None = None
+
+    async def submit(self, submission: Submission) -> IntakeVerdict:
+        """Stores a job; a repeated submission finds the same job."""
+        key = job_key(submission.job_id)
+        change = Change(
+            expected={key: Revision(0)}, writes={key: encode_submission(submission)}
+        )
+        verdict = await self._write(change)
+        self._log.write(
+            'job_submitted',
+            job=submission.job_id,
+            queue=submission.queue.name,
+            outcome=verdict.value,
+        )
+        return verdict
+
+    async def cancel(self, job_id: JobId) -> IntakeVerdict:
+        """Stores that a job is cancelled."""
+        deadline = self._clock.monotonic() + RESOLVE_LIMIT
+        verdict = IntakeVerdict.UNKNOWN
+        while self._clock.monotonic() < deadline:
+            verdict = await self._try_cancel(job_id)
+            if verdict in {IntakeVerdict.ACCEPTED, IntakeVerdict.NOT_FOUND}:
+                break
+            await self._clock.sleep(RETRY_PAUSE)
+        self._log.write('cancel_requested', job=job_id, outcome=verdict.value)
+        return verdict
+
+    async def state(self, job_id: JobId) -> JobState | IntakeVerdict:
+        """Returns the state of a job; a verdict when there is none to tell."""
+        answer = await self._store.read(job_key(job_id))
+        if isinstance(answer, Err):
+            return IntakeVerdict.REFUSED
+        item = answer.ok_value
+        if item.content is None:
+            return IntakeVerdict.NOT_FOUND
+        record = decode_record(job_id, item.content)
+        if isinstance(record, JobState):
+            return record
+        if record.cancelled:
+            return JobState.CANCELLED
+        progress = await self._store.read(progress_key(job_id), stale=True)
+        if isinstance(progress, Err) or progress.ok_value.content is None:
+            return JobState.QUEUED
+        return JobState.RUNNING
+
+    async def pending(self, queue: str) -> int | None:
+        """Returns the number of a queue's jobs that wait; None when not known."""
+        now = self._clock.monotonic()
+        if self._counted_at is None or now - self._counted_at > COUNT_AGE:
+            answer = await self._store.read(PENDING_KEY)
+            if isinstance(answer, Err):
+                return None
+            self._counts = _decode_counts(answer.ok_value)
+            self._counted_at = now
+        return self._counts.get(queue, 0)
+
+    async def _write(self, change: Change) -> IntakeVerdict:
+        deadline = self._clock.monotonic() + RESOLVE_LIMIT
+        sent = False
+        while self._clock.monotonic() < deadline:
+            answer = await self._store.commit(change)
+            if not isinstance(answer, Err):
+                # A conflict says that the job is there already.
+                return IntakeVerdict.ACCEPTED
+            if answer.err_value.verdict is Verdict.OUTCOME_UNKNOWN:
+                sent = True
+            elif not sent:
+                return IntakeVerdict.REFUSED
+            await self._clock.sleep(RETRY_PAUSE)
+        return IntakeVerdict.UNKNOWN
+
+    async def _try_cancel(self, job_id: JobId) -> IntakeVerdict:
+        key = job_key(job_id)
+        answer = await self._store.read(key)
+        if isinstance(answer, Err):
+            return IntakeVerdict.UNKNOWN
+        item = answer.ok_value
+        if item.content is None:
+            return IntakeVerdict.NOT_FOUND
+        record = decode_record(job_id, item.content)
+        if isinstance(record, JobState) or record.cancelled:
+            return IntakeVerdict.ACCEPTED
+        change = Change(
+            expected={key: item.revision},
+            writes={key: encode_submission(replace(record, cancelled=True))},
+        )
+        outcome = await self._store.commit(change)
+        if not isinstance(outcome, Err) and isinstance(outcome.ok_value, Committed):
+            return IntakeVerdict.ACCEPTED
+        return IntakeVerdict.UNKNOWN
+
+
+def _decode_counts(item: StoreItem) -> dict[str, int]:
+    if item.content is None:
+        return {}
+    counts: dict[str, int] = msgpack.unpackb(item.content)
+    return counts
--- /dev/null
+++ b/chiveworks/metastore/__init__.py
@@ -0,0 +1,40 @@
+"""The platform's metadata store: its interface, replicas, election and fencing."""
+
+from chiveworks.metastore._election import Election
+from chiveworks.metastore._keys import (
+    JOB_PREFIX,
+    PENDING_KEY,
+    PROGRESS_PREFIX,
+    job_key,
+    progress_key,
+)
+from chiveworks.metastore._metadata_store import (
+    Change,
+    Committed,
+    Conflict,
+    Listing,
+    MetadataStore,
+    StoreItem,
+    WatchBatch,
+)
+from chiveworks.metastore._replica import Replica
+from chiveworks.metastore._term import Term, TermLostError
+
+__all__ = (
+    'JOB_PREFIX',
+    'PENDING_KEY',
+    'PROGRESS_PREFIX',
+    'Change',
+    'Committed',
+    'Conflict',
+    'Election',
+    'Listing',
+    'MetadataStore',
+    'Replica',
+    'StoreItem',
+    'Term',
+    'TermLostError',
+    'WatchBatch',
+    'job_key',
+    'progress_key',
+)
--- /dev/null
+++ b/chiveworks/platform/__init__.py
@@ -0,0 +1,6 @@
+"""Adapter to the users' platform: its settings, wire formats and processes."""
+
+from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
+from chiveworks.platform._process import PlatformProcess
+
+__all__ = ('BootSettings', 'PlatformProcess', 'read_boot_settings')
--- /dev/null
+++ b/chiveworks/platform/__main__.py
@@ -0,0 +1,34 @@
+"""Entry point on the users' platform."""
+
+import os
+
+# Set before anything imports uvloop; libuv reads it when a loop is created.
+os.environ['UV_USE_IO_URING'] = '0'
+
+import gc  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import uvloop  # noqa: E402
+
+from chiveworks.platform import PlatformProcess, read_boot_settings  # noqa: E402
+
+#: Names the variable that holds the path of the settings.
+SETTINGS_VARIABLE = 'CHIVEWORKS_BOOT'
+#: Objects between two collections; most are freed by their reference count.
+COLLECTION_THRESHOLD = 50_000
+
+
+def main() -> None:
+    """Runs the process until it is asked to stop."""
+    path = Path(os.environ[SETTINGS_VARIABLE])
+    gc.freeze()
+    gc.set_threshold(COLLECTION_THRESHOLD)
+    uvloop.run(_serve(path))
+
+
+async def _serve(path: Path) -> None:
+    await PlatformProcess(read_boot_settings(path), path).run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/chiveworks/platform/_boot_settings.py
@@ -0,0 +1,75 @@
+"""Settings that the platform lays out for a process (TOML)."""
+
+import tomllib
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from chiveworks.base import EntryId, ZoneName
+from chiveworks.dispatch import SchedulingBounds
+
+
+@dataclass(frozen=True, slots=True)
+class BootSettings:
+    """What a process learns at its start.
+
+    Attributes:
+        process: Name of the machine, which names the process in logs.
+        zone: Availability zone.
+        front: Host and port for clients.
+        ready: Host and port of the readiness check.
+        store: Host and port of the metadata store.
+        cloud: Host and port of the machines' service; empty when there is none.
+        advice: Host and port of the placement advice; empty when there is none.
+        cores: Processor share in cores.
+        grace: Time from the request to stop until the process is killed.
+        bounds: Bounds of the scheduler.
+    """
+
+    process: EntryId
+    zone: ZoneName
+    front: tuple[str, int]
+    ready: tuple[str, int]
+    store: str
+    cloud: str
+    advice: str
+    cores: float
+    grace: timedelta
+    bounds: SchedulingBounds
+
+
+def read_boot_settings(path: Path) -> BootSettings:
+    """Reads the settings file.
+
+    Raises:
+        OSError: The file cannot be read.
+        KeyError: A required field is missing.
+    """
+    fields = tomllib.loads(path.read_text())
+    bounds, limits, listen = fields['bounds'], fields['limits'], fields['listen']
+    return BootSettings(
+        EntryId(fields['node']),
+        ZoneName(fields['zone']),
+        _split(listen['front']),
+        _split(listen['ready']),
+        fields['platform']['address'],
+        fields.get('cloud', {}).get('address', ''),
+        fields.get('advice', ''),
+        limits['cpu_share'] * limits['cores'],
+        timedelta(seconds=bounds['grace_s']),
+        SchedulingBounds(
+            _milliseconds(bounds, 'hold_max_ms'),
+            _milliseconds(bounds, 'early_ms'),
+            timedelta(seconds=bounds.get('status_s', 0)),
+        ),
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _milliseconds(bounds: dict[str, Any], name: str) -> timedelta:
+    return timedelta(milliseconds=bounds.get(name, 0))
--- /dev/null
+++ b/chiveworks/platform/_channel.py
@@ -0,0 +1,86 @@
+"""Calls of one peer of the platform, with connections that can be dropped."""
+
+import json
+from datetime import timedelta
+from typing import Any, Final
+
+import aiohttp
+from result import Err, Ok, Result
+
+from chiveworks.base import Failure, Step
+from chiveworks.base._http_caller import HttpCaller
+
+#: Longest wait for a connection; a path within a region takes a few ms.
+CONNECT_LIMIT: Final = timedelta(milliseconds=400)
+
+Reply = tuple[int, Any]
+
+
+class Channel:
+    """Sends calls with JSON bodies to one address.
+
+    Args:
+        address: Host and port.
+        timeout: Limit of a call.
+        headers: Headers of every call.
+    """
+
+    def __init__(
+        self, address: str, timeout: timedelta, headers: dict[str, str] | None = None
+    ) -> None:
+        self._address = address
+        self._timeout = timeout
+        self._headers = {'Content-Type': 'application/json', **(headers or {})}
+        self._caller: HttpCaller | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        step: Step,
+        *,
+        query: dict[str, str] | None = None,
+        body: object = None,
+        timeout: timedelta | None = None,
+        writes: bool = True,
+    ) -> Result[Reply, Failure]:
+        """Sends one call; returns its status and decoded body.
+
+        A call without an answer drops all connections: others may have gone
+        silent as well.
+        """
+        caller = self._open()
+        packed = None if body is None else json.dumps(body).encode()
+        answer = await caller.call(
+            method, path, step, query=query, body=packed, timeout=timeout, writes=writes
+        )
+        if isinstance(answer, Err):
+            return answer
+        reply = answer.ok_value
+        try:
+            decoded = json.loads(reply.body) if reply.body else None
+        except ValueError:
+            return Err(caller.unexpected(reply, step, writes=writes))
+        return Ok((reply.status, decoded))
+
+    async def reset(self) -> None:
+        """Drops all connections; the next call opens new ones."""
+        caller, self._caller = self._caller, None
+        if caller is not None:
+            await caller.session.close()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.reset()
+
+    def _open(self) -> HttpCaller:
+        if self._caller is None:
+            session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                headers=self._headers,
+            )
+            self._caller = HttpCaller(
+                session, f'http://{self._address}', self._timeout, CONNECT_LIMIT
+            )
+        return self._caller
--- /dev/null
+++ b/chiveworks/platform/_decoding.py
@@ -0,0 +1,151 @@
+"""Decoders of what operators, workers and clients write."""
+
+import json
+from collections.abc import Mapping
+from datetime import datetime, timedelta, timezone
+from typing import Any, Final
+
+from chiveworks.base import RackName, Resources, WorkerId, ZoneName
+from chiveworks.dispatch import WorkerInfo
+from chiveworks.intake import IntakeLimits, QueueCatalogue, QueueRoute
+from chiveworks.workflow import JobSpec, QueuePolicy, Recurrence, StepSpec
+
+#: Names of entries below the operators' prefix.
+CONFIG_NAME: Final = 'config'
+EVACUATION_PREFIX: Final = 'evacuate/'
+
+_MILLISECOND: Final = timedelta(milliseconds=1)
+_MEGABYTE: Final = 1024 * 1024
+_EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
+_DEFAULTS: Final = IntakeLimits()
+_STATES: Final = frozenset(('ready', 'draining'))
+
+
+def decode_operator_entry(name: str, content: bytes) -> QueueCatalogue | str | None:
+    """Returns the configuration, or the name of any other request of operators."""
+    if name != CONFIG_NAME:
+        return name
+    try:
+        return _decode_catalogue(json.loads(content))
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def decode_worker(name: str, content: bytes) -> WorkerInfo | None:
+    """Returns a worker's entry; None when another writer left it unusable."""
+    try:
+        fields = json.loads(content)
+        if fields['state'] not in _STATES:
+            return None
+        return _decode_worker(WorkerId(name), fields)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """Returns a client's job.
+
+    Raises:
+        ValueError: The body is not a job.
+    """
+    try:
+        return _decode_job(json.loads(body))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(f'the body is not a job: {error!r}') from error
+
+
+def _decode_catalogue(fields: Mapping[str, Any]) -> QueueCatalogue:
+    limits = fields.get('limits') or {}
+    return QueueCatalogue.build(
+        fields['version'],
+        [_decode_route(route) for route in fields['routes']],
+        {
+            service['name']: bool(service.get('enforces_capacity'))
+            for service in fields['services']
+        },
+        IntakeLimits(
+            limits.get('max_body_bytes', _DEFAULTS.body_bytes),
+            limits.get('max_header_bytes', _DEFAULTS.header_bytes),
+        ),
+    )
+
+
+def _decode_route(route: Mapping[str, Any]) -> QueueRoute:
+    policy = QueuePolicy(
+        route['name'],
+        route['service'],
+        route.get('priority', 0),
+        max(route.get('max_attempts', 1), 1),
+        route.get('stretch', 1.0),
+        route.get('target_latency_ms', 0) * _MILLISECOND,
+        advised=bool(route.get('advice')),
+    )
+    timeout = route.get('timeout_ms', 3000) * _MILLISECOND
+    return QueueRoute(route['host'], route['prefix'], policy, timeout)
+
+
+def _decode_worker(worker_id: WorkerId, fields: Mapping[str, Any]) -> WorkerInfo:
+    labels = [label for label in fields.get('labels') or () if isinstance(label, str)]
+    remaining = fields.get('remaining_ms')
+    return WorkerInfo(
+        worker_id,
+        fields['service'],
+        fields['address'],
+        ZoneName(fields['zone']),
+        fields['state'] == 'draining',
+        _decode_resources(fields['capacity']),
+        frozenset(labels),
+        # The first label is the worker's kind, the second its rack.
+        RackName(labels[1] if len(labels) > 1 else ''),
+        None if remaining is None else remaining * _MILLISECOND,
+        fields.get('born') or 0,
+    )
+
+
+def _decode_resources(fields: Mapping[str, Any]) -> Resources:
+    return Resources(
+        int(fields.get('cpu', 0)),
+        int(fields.get('mem_mb', 0) * _MEGABYTE),
+        int(fields.get('gpu', 0)),
+    )
+
+
+def _decode_job(fields: Mapping[str, Any]) -> JobSpec:
+    spec = JobSpec(
+        str(fields.get('spec') or ''),
+        tuple(_decode_step(step) for step in fields['steps']),
+        _decode_recurrence(fields),
+    )
+    problem = spec.problem()
+    if problem:
+        raise ValueError(problem)
+    return spec
+
+
+def _decode_recurrence(fields: Mapping[str, Any]) -> Recurrence | None:
+    count = fields.get('repeat_count') or 0
+    if count <= 0:
+        return None
+    first = _EPOCH + fields.get('first_ms', 0) * _MILLISECOND
+    return Recurrence(count, first, fields.get('interval_ms', 0) * _MILLISECOND)
+
+
+def _decode_step(step: Mapping[str, Any]) -> StepSpec:
+    return StepSpec(
+        int(step.get('count') or 0),
+        _decode_resources(step),
+        (step.get('estimate_ms') or 0) * _MILLISECOND,
+        tuple(step.get('after') or ()),
+        bool(step.get('checkpointed')),
+        bool(step.get('gang')),
+        bool(step.get('tightly_coupled')),
+        str(step.get('requires') or ''),
+        RackName(step.get('data_rack') or ''),
+        int(step.get('anti_affinity') or 0),
+        bool(step.get('speculative')),
+        bool(step.get('long_running')),
+        str(step.get('image') or ''),
+        (step.get('target_ms') or 0) * _MILLISECOND,
+        bool(step.get('fills')),
+        int(step.get('may_miss') or 0),
+    )
--- /dev/null
+++ b/chiveworks/platform/_metadata_client.py
@@ -0,0 +1,220 @@
+"""The platform's metadata store over HTTP."""
+
+import base64
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Any, Final, TypeVar
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Failure, Revision, Step, StoreLeaseId
+from chiveworks.metastore import (
+    Change,
+    Committed,
+    Conflict,
+    Listing,
+    StoreItem,
+    WatchBatch,
+)
+from chiveworks.platform._channel import Channel, Reply
+
+#: Limit of a call: the store answers in 4 ms, and in 240 ms when it is slow.
+CALL_LIMIT: Final = timedelta(milliseconds=800)
+#: Answers of a watch may be late by as much as those of other calls.
+WATCH_MARGIN: Final = timedelta(milliseconds=700)
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+_COMPACTED = 410
+_MILLISECOND: Final = timedelta(milliseconds=1)
+
+_Decoded = TypeVar('_Decoded')
+
+
+class HttpMetadataStore:
+    """Calls of the metadata store.
+
+    Args:
+        address: Host and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._calls = Channel(address, CALL_LIMIT)
+        self._watches = Channel(address, CALL_LIMIT)
+
+    async def read(
+        self, key: str, *, stale: bool = False
+    ) -> Result[StoreItem, Failure]:
+        """Reads one key."""
+        query = {'key': key, **({'stale_ok': '1'} if stale else {})}
+        answer = await self._read('/v1/kv-key', query)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == _NOT_FOUND:
+            return Ok(StoreItem(key, Revision(0), None))
+        return _decode(status, body, _decode_item)
+
+    async def read_all(self, prefix: str) -> Result[Listing, Failure]:
+        """Reads all pages below a prefix."""
+        items: list[StoreItem] = []
+        revision: int | None = None
+        query = {'prefix': prefix}
+        while True:
+            answer = await self._read('/v1/kv-range', query)
+            if isinstance(answer, Err):
+                return answer
+            status, body = answer.ok_value
+            page = _decode(status, body, _decode_page)
+            if isinstance(page, Err):
+                return page
+            found, page_revision, has_more = page.ok_value
+            items.extend(found)
+            # Pages are not one snapshot: the watch starts at the first.
+            revision = page_revision if revision is None else revision
+            if not has_more or not found:
+                return Ok(Listing(items, Revision(revision)))
+            query = {'prefix': prefix, 'after': found[-1].key}
+
+    async def watch(
+        self, prefix: str, after: Revision, wait: timedelta
+    ) -> Result[WatchBatch, Failure]:
+        """Waits for changes."""
+        query = {
+            'prefix': prefix,
+            'after': str(after),
+            'wait_ms': str(wait // _MILLISECOND),
+        }
+        answer = await self._watches.call(
+            'GET',
+            '/v1/kv-watch',
+            Step.STORE_READ,
+            query=query,
+            timeout=wait + WATCH_MARGIN,
+            writes=False,
+        )
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == _COMPACTED:
+            return Ok(WatchBatch((), after, compacted=True))
+        return _decode(status, body, _decode_batch)
+
+    async def commit(self, change: Change) -> Result[Committed | Conflict, Failure]:
+        """Applies a transaction."""
+        body = {
+            'expected_rev': [
+                {'key': key, 'revision': revision}
+                for key, revision in change.expected.items()
+            ],
+            'writes': [_encode_write(change, key) for key in change.writes],
+            'remove': list(change.removals),
+        }
+        answer = await self._calls.call(
+            'POST', '/v1/kv-txn', Step.STORE_WRITE, body=body
+        )
+        if isinstance(answer, Err):
+            return answer
+        status, reply = answer.ok_value
+        if status == _CONFLICT:
+            return _decode(_OK, reply, _decode_conflict)
+        return _decode(status, reply, _decode_commit)
+
+    async def grant_lease(self, ttl: timedelta) -> Result[StoreLeaseId, Failure]:
+        """Creates a lease."""
+        answer = await self._calls.call(
+            'POST',
+            '/v1/kv-lease',
+            Step.STORE_WRITE,
+            body={'ttl_ms': ttl // _MILLISECOND},
+        )
+        if isinstance(answer, Err):
+            return answer
+        return _decode(*answer.ok_value, _decode_lease)
+
+    async def keep_lease(self, lease: StoreLeaseId) -> Result[bool, Failure]:
+        """Renews a lease."""
+        answer = await self._calls.call(
+            'POST', f'/v1/kv-keep/{lease}', Step.RENEW, timeout=CALL_LIMIT / 2
+        )
+        if isinstance(answer, Err):
+            return answer
+        return Ok(answer.ok_value[0] == _OK)
+
+    async def end_lease(self, lease: StoreLeaseId) -> Result[None, Failure]:
+        """Ends a lease."""
+        answer = await self._calls.call(
+            'DELETE', f'/v1/kv-lease-end/{lease}', Step.STORE_WRITE
+        )
+        if isinstance(answer, Err):
+            return answer
+        return Ok(None)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._calls.close()
+        await self._watches.close()
+
+    async def _read(self, path: str, query: dict[str, str]) -> Result[Reply, Failure]:
+        return await self._calls.call(
+            'GET', path, Step.STORE_READ, query=query, writes=False
+        )
+
+
+def _decode(
+    status: int, body: Any, decoder: Callable[[Any], _Decoded]
+) -> Result[_Decoded, Failure]:
+    if status != _OK:
+        return Err(_unusable(f'status {status}'))
+    try:
+        return Ok(decoder(body))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(_unusable(repr(error)))
+
+
+def _unusable(reason: str) -> Failure:
+    message = f'the answer cannot be used: {reason}'
+    return Failure.unknown(Step.READ, 'metadata store', message)
+
+
+def _encode_write(change: Change, key: str) -> dict[str, object]:
+    return {
+        'key': key,
+        'value': base64.b64encode(change.writes[key]).decode(),
+        'lease': change.lease if key in change.leased else 0,
+    }
+
+
+def _decode_item(item: Mapping[str, Any]) -> StoreItem:
+    if item.get('deleted'):
+        return StoreItem(item['key'], Revision(item['revision']), None)
+    content = item.get('value')
+    if not item.get('revision'):
+        return StoreItem(item['key'], Revision(0), None)
+    return StoreItem(
+        item['key'], Revision(item['revision']), base64.b64decode(content or '')
+    )
+
+
+def _decode_page(body: Mapping[str, Any]) -> tuple[list[StoreItem], int, bool]:
+    items = [_decode_item(item) for item in body.get('items') or ()]
+    return items, body['store_revision'], bool(body.get('has_more'))
+
+
+def _decode_batch(body: Mapping[str, Any]) -> WatchBatch:
+    items = [_decode_item(item) for item in body.get('events') or ()]
+    return WatchBatch(items, Revision(body['store_revision']))
+
+
+def _decode_commit(body: Mapping[str, Any]) -> Committed | Conflict:
+    return Committed(Revision(body['revision']))
+
+
+def _decode_conflict(body: Mapping[str, Any]) -> Committed | Conflict:
+    items = (_decode_item(item) for item in body.get('items') or ())
+    return Conflict({item.key: item for item in items})
+
+
+def _decode_lease(body: Mapping[str, Any]) -> StoreLeaseId:
+    return StoreLeaseId(body['lease'])
--- /dev/null
+++ b/chiveworks/platform/_process.py
@@ -0,0 +1,167 @@
+"""A process of the system on the users' platform."""
+
+import asyncio
+import contextlib
+import signal
+from datetime import timedelta
+from pathlib import Path
+from typing import Final
+
+from aiohttp import web
+
+from chiveworks.base import SystemClock, ZoneName
+from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
+from chiveworks.events import EventLog
+from chiveworks.intake import JobIntake, QueueCatalogue
+from chiveworks.metastore import Election, Replica, Term
+from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
+from chiveworks.platform._decoding import (
+    CONFIG_NAME,
+    EVACUATION_PREFIX,
+    decode_operator_entry,
+    decode_worker,
+)
+from chiveworks.platform._front import ClientFront
+from chiveworks.platform._metadata_client import HttpMetadataStore
+from chiveworks.platform._worker_client import HttpWorker
+from chiveworks.workflow import Job
+
+#: Longest wait of a machine with one core before it contends for leadership;
+#: smaller machines wait longer.
+HANDICAP: Final = timedelta(milliseconds=40)
+#: Age of the store's last answer past which the process is not ready.
+STORE_SILENCE: Final = timedelta(seconds=3)
+#: How long requests are taken after the request to stop: the platform takes a
+#: machine out of rotation after two checks, one a second.
+DRAIN: Final = timedelta(milliseconds=2600)
+
+
+class PlatformProcess:
+    """Serves clients, and schedules while it leads.
+
+    Args:
+        settings: What the platform laid out.
+        path: Where the settings are, to read them again.
+    """
+
+    def __init__(self, settings: BootSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = SystemClock()
+        fields = {'process': settings.process, 'zone': settings.zone}
+        self._log = EventLog(self._clock, fields)
+        self._store = HttpMetadataStore(settings.store)
+        self._catalogue: QueueCatalogue | None = None
+        self._operators: Replica[QueueCatalogue | str] = Replica(
+            self._store, 'op/', decode_operator_entry, self._clock, self._log
+        )
+        self._operators.subscribe(self._on_operator_entry)
+        handicap = HANDICAP / max(settings.cores, 0.1)
+        self._election = Election(
+            self._store, self._clock, self._log, settings.process, handicap
+        )
+        self._leader = Leader(
+            self._store,
+            self._clock,
+            self._log,
+            self._election,
+            self._create_scheduler,
+            self._follow_workers,
+        )
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serves until the platform asks to stop."""
+        self._log.open()
+        self._log.write('process_starting', cores=self._settings.cores)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._store.close)
+            followers = [
+                asyncio.create_task(self._operators.run()),
+                asyncio.create_task(self._election.leader.run()),
+            ]
+            leading = asyncio.create_task(self._leader.run())
+            stack.push_async_callback(_cancel, leading, *followers)
+            await self._listen(stack)
+            await self._stopping.wait()
+            await self._drain(leading)
+        self._log.write('process_stopped')
+
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+        intake = JobIntake(self._store, self._clock, self._log)
+        front = ClientFront(intake, lambda: self._catalogue, self._stopping.is_set)
+        for handler, address in (
+            (front.handle, self._settings.front),
+            (self._answer_ready, self._settings.ready),
+        ):
+            runner = web.ServerRunner(web.Server(handler, access_log=None))
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            await web.TCPSite(runner, *address, backlog=512).start()
+
+    async def _drain(self, leading: 'asyncio.Task[None]') -> None:
+        self._log.write('process_stopping')
+        leading.cancel()
+        await asyncio.gather(leading, return_exceptions=True)
+        await self._leader.resign()
+        await self._clock.sleep(DRAIN)
+
+    def _reload(self) -> None:
+        try:
+            read_boot_settings(self._path)
+        except (OSError, KeyError, ValueError) as error:
+            self._log.write('settings_rejected', reason=repr(error))
+            return
+        self._log.write('settings_reloaded')
+
+    async def _answer_ready(self, _request: web.BaseRequest) -> web.Response:
+        silence = self._clock.monotonic() - self._operators.fresh_at
+        ready = (
+            self._catalogue is not None
+            and silence < STORE_SILENCE
+            and not self._stopping.is_set()
+        )
+        return web.Response(status=200 if ready else 503)
+
+    def _on_operator_entry(
+        self, name: str, entry: QueueCatalogue | str | None
+    ) -> None:
+        if name != CONFIG_NAME:
+            self._log.write('operator_request', name=name, present=entry is not None)
+        elif isinstance(entry, QueueCatalogue):
+            known = self._catalogue.version if self._catalogue else -1
+            if entry.version >= known:
+                self._catalogue = entry
+                self._log.write('configuration_applied', version=entry.version)
+        if self._leader.scheduler is not None:
+            self._leader.scheduler.wake()
+
+    def _create_scheduler(self, term: Term) -> Scheduler:
+        return Scheduler(
+            term,
+            self._clock,
+            self._log,
+            self._settings.bounds,
+            HttpWorker,
+            self._service_of,
+            self._evacuated,
+        )
+
+    def _follow_workers(self) -> Replica[WorkerInfo]:
+        return Replica(self._store, 'servers/', decode_worker, self._clock, self._log)
+
+    def _service_of(self, job: Job) -> str:
+        policy = self._catalogue and self._catalogue.policy(job.queue.name)
+        return policy.service if policy else job.queue.service
+
+    def _evacuated(self, zone: ZoneName) -> bool:
+        return EVACUATION_PREFIX + zone in self._operators.entries
+
+
+async def _cancel(*tasks: 'asyncio.Task[None]') -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/chiveworks/workflow/__init__.py
@@ -0,0 +1,35 @@
+"""Jobs that consist of steps, steps that consist of tasks, and their progress."""
+
+from chiveworks.workflow._codec import (
+    decode_record,
+    encode_end,
+    encode_progress,
+    encode_submission,
+    restore_progress,
+)
+from chiveworks.workflow._job import Job, JobState
+from chiveworks.workflow._job_spec import JobSpec, Submission
+from chiveworks.workflow._queue_policy import QueuePolicy
+from chiveworks.workflow._recurrence import Recurrence
+from chiveworks.workflow._step_run import StepRun
+from chiveworks.workflow._step_spec import StepSpec
+from chiveworks.workflow._task import Task, TaskRef, TaskState
+
+__all__ = (
+    'Job',
+    'JobSpec',
+    'JobState',
+    'QueuePolicy',
+    'Recurrence',
+    'StepRun',
+    'StepSpec',
+    'Submission',
+    'Task',
+    'TaskRef',
+    'TaskState',
+    'decode_record',
+    'encode_end',
+    'encode_progress',
+    'encode_submission',
+    'restore_progress',
+)
