--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -5,16 +5,24 @@
 from typing import Final
 
 from chiveworks.base import Clock, WorkerId, ZoneName
+from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
 
-#: What a claim of a filling task weighs against one that is reserved, when the
-#: least loaded worker is sought. Filling tasks yield, so they weigh less.
-FILL_WEIGHT: Final = 0.5
+#: Share of their reserved processor time that serving tasks use on average.
+SERVING_USE: Final = 0.5
 #: Penalty, in shares of a worker, for a rack other than that of the data.
 REMOTE_PENALTY: Final = 2.0
-
-
+#: Penalty for a worker on which the task has failed before.
+AVOIDED_PENALTY: Final = 4.0
+#: Penalty for each further image that serves on a worker: the fewer images meet
+#: there, the more images of filling tasks disturb none of them.
+MIXED_IMAGES_PENALTY: Final = 0.4
+#: Headroom that filling tasks together may take from a serving task: its own load
+#: swings by more than half of what is left.
+LOSS_ALLOWED: Final = 0.45
+#: Penalty for each unit of headroom lost beyond what is allowed.
+LOSS_PENALTY: Final = 2.0
 
 
 class Placer:
@@ -23,7 +31,8 @@
     Args:
         clock: Source of time.
         workers: Workers by id.
-        evacuated: Zones in which nothing may start.
+        evacuated: Tells whether nothing may start in a zone.
+        model: What is known of interference.
     """
 
     def __init__(
@@ -31,10 +40,12 @@
         clock: Clock,
         workers: dict[WorkerId, WorkerView],
         evacuated: Callable[[ZoneName], bool],
+        model: PressureModel,
     ) -> None:
         self._clock = clock
         self._workers = workers
         self._evacuated = evacuated
+        self._model = model
 
     def candidates(self, run: StepRun, service: str) -> list[WorkerView]:
         """Returns the workers on which tasks of a step may start now."""
@@ -82,17 +93,40 @@
 
     def _score(self, worker: WorkerView, task: Task) -> float:
         spec = task.spec
-        capacity = worker.info.capacity.cpu_millicores or 1
-        taken = worker.cpu_millicores + FILL_WEIGHT * worker.fill_millicores
-        score = (capacity - taken - spec.demand.cpu_millicores) / capacity
+        score = _room_left(worker, spec)
         if spec.data_rack and spec.data_rack != worker.info.rack:
             score -= REMOTE_PENALTY
         if worker.worker_id in task.avoided:
-            score -= 2 * REMOTE_PENALTY
+            score -= AVOIDED_PENALTY
         if spec.fills:
-            score += worker.fill_pace_percent / 100
+            score -= LOSS_PENALTY * self._excess_loss(worker, spec)
+        elif spec.serves:
+            others = worker.serving_images.keys() - {spec.image}
+            score -= MIXED_IMAGES_PENALTY * len(others)
         return score
 
+    def _excess_loss(self, worker: WorkerView, spec: StepSpec) -> float:
+        """Returns by how much a serving task would lose too much headroom."""
+        capacity = worker.info.capacity.cpu_millicores or 1
+        worst = 0.0
+        for serving in worker.serving_images:
+            weights = self._model.weight
+            loss = weights(serving, spec.image) * spec.demand.cpu_millicores
+            for filling, millicores in worker.filling_images.items():
+                loss += weights(serving, filling) * millicores
+            worst = max(worst, loss / capacity)
+        return max(worst - LOSS_ALLOWED, 0.0)
+
+
+def _room_left(worker: WorkerView, spec: StepSpec) -> float:
+    """Returns the share of a worker's processors that is left after a start."""
+    capacity = worker.info.capacity.cpu_millicores or 1
+    used = worker.cpu_millicores
+    if spec.fills:
+        used -= (1 - SERVING_USE) * worker.serving_millicores
+        used += worker.fill_millicores
+    return (capacity - used - spec.demand.cpu_millicores) / capacity
+
 
 def fits(worker: WorkerView, spec: StepSpec) -> bool:
     """Tells whether a worker has room for a task of a step."""
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -19,6 +19,7 @@
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._run_tracker import RunTracker
 from chiveworks.dispatch._worker_control import WorkerControl
@@ -95,15 +96,16 @@
             self.orders.stop,
             self.orders.withdraw,
         )
+        model = PressureModel()
         self._assigner = Assigner(
             clock,
             log,
             self.table,
-            Placer(clock, self.fleet.workers, evacuated),
+            Placer(clock, self.fleet.workers, evacuated, model),
             service_of,
         )
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
-        self._guard = InterferenceGuard(clock, self.orders)
+        self._guard = InterferenceGuard(clock, self.orders, model)
 
     async def run(self) -> None:
         """Schedules until the term is lost."""
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -1,6 +1,6 @@
 """What the scheduler knows of one worker."""
 
-from collections import deque
+from collections import Counter, deque
 from datetime import timedelta
 
 from chiveworks.base import WorkerId
@@ -24,6 +24,9 @@
         tasks: Tasks that are claimed for it or run on it.
         cpu_millicores: Processor claims of tasks that do not fill.
         fill_millicores: Processor claims of tasks that fill.
+        serving_millicores: Processor claims of tasks with a latency target.
+        serving_images: Tasks with a latency target, by image.
+        filling_images: Processor claims of tasks that fill, by image.
         memory_bytes: Memory claims.
         accelerators: Accelerator claims.
         born_ms: Incarnation that answered last; 0 before the first answer.
@@ -32,7 +35,6 @@
         unacknowledged: Applied ends, each with the record version to wait for.
         failure_streak: Failed runs since the last run that was done.
         quarantined_until: Until when it gets no further work.
-        fill_pace_percent: Share of their speed at which filling tasks work.
     """
 
     def __init__(
@@ -46,6 +48,9 @@
         self.tasks: dict[TaskRef, Task] = {}
         self.cpu_millicores = 0
         self.fill_millicores = 0
+        self.serving_millicores = 0
+        self.serving_images: Counter[str] = Counter()
+        self.filling_images: Counter[str] = Counter()
         self.memory_bytes = 0
         self.accelerators = 0
         self.born_ms = 0
@@ -54,7 +59,6 @@
         self.unacknowledged: deque[tuple[int, Job | None, int]] = deque()
         self.failure_streak = 0
         self.quarantined_until = timedelta()
-        self.fill_pace_percent = 100
 
     @property
     def worker_id(self) -> WorkerId:
@@ -85,17 +89,26 @@
         self.acknowledged = 0
         self.unacknowledged.clear()
         self.lease.restart(now)
-        self.fill_pace_percent = 100
 
     def _count(self, task: Task, sign: int) -> None:
-        demand = task.spec.demand
-        if task.spec.fills:
+        spec, demand = task.spec, task.spec.demand
+        if spec.fills:
             self.fill_millicores += sign * demand.cpu_millicores
+            _adjust(self.filling_images, spec.image, sign * demand.cpu_millicores)
         else:
             self.cpu_millicores += sign * demand.cpu_millicores
+        if spec.serves:
+            self.serving_millicores += sign * demand.cpu_millicores
+            _adjust(self.serving_images, spec.image, sign)
         self.memory_bytes += sign * demand.memory_bytes
         self.accelerators += sign * demand.accelerators
 
 
+def _adjust(amounts: Counter[str], image: str, change: int) -> None:
+    amounts[image] += change
+    if amounts[image] <= 0:
+        amounts.pop(image)
+
+
 def _durable(job: Job | None, version: int) -> bool:
     return job is None or job.durable_version >= version
