--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -5,60 +5,64 @@
 
 from chiveworks.base import Clock, WorkerId
 from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import Task, TaskState
 
-#: Headroom below which filling tasks are slowed down.
+#: Headroom below which filling tasks are paused.
 LOW_HEADROOM: Final = 1.12
-#: Headroom above which they are sped up again.
-HIGH_HEADROOM: Final = 1.5
-#: Headroom below which filling tasks stand still at once.
-MISSED_HEADROOM: Final = 0.75
+#: Headroom that pausing aims for, and that must be left after a resumption.
+AIMED_HEADROOM: Final = 1.3
 #: Loss of headroom from which a filling task counts as a cause.
-NOTABLE_LOSS: Final = 0.05
-#: Pace after a first report below the limit.
-SLOW_PACE_PERCENT: Final = 25
-#: Added to the pace after each calm interval.
-RECOVERY_PERCENT: Final = 25
+NOTABLE_LOSS: Final = 0.12
+#: Time over the target after which all filling tasks are paused, causes or not.
+ESCALATION: Final = timedelta(milliseconds=1200)
 #: Least time between two changes on a worker: a change shows in the figures, which
 #: cover half a second, only after that.
 CHANGE_GAP: Final = timedelta(milliseconds=600)
+#: Progress up to which a task without checkpoints is moved rather than paused.
+MOVABLE_PERCENT: Final = 40
 _FULL: Final = 100
 _MILLISECOND: Final = timedelta(milliseconds=1)
 
 
 class InterferenceGuard:
-    """Learns from reports and paces the filling tasks that disturb most.
+    """Learns from reports; pauses or moves the filling tasks that disturb most.
 
     Args:
         clock: Source of time.
-        orders: Sends the paces.
+        orders: Sends the paces and stops.
+        placer: Tells whether a task would find a better place.
         model: What is known of the images.
     """
 
-    def __init__(self, clock: Clock, orders: Orders, model: PressureModel) -> None:
+    def __init__(
+        self, clock: Clock, orders: Orders, placer: Placer, model: PressureModel
+    ) -> None:
         self._clock = clock
         self._orders = orders
+        self._placer = placer
         self._model = model
         self._changed_at: dict[WorkerId, timedelta] = {}
+        self._missed_since: dict[WorkerId, timedelta] = {}
 
     def observe(self, worker: WorkerView) -> bool:
         """Reacts to a report; tells whether the worker needs close watching."""
         fills = [task for task in worker.tasks.values() if _fills(task)]
         serving = [task for task in worker.tasks.values() if _serves(task)]
-        if not serving:
-            return self._speed_up(worker, fills)
-        self._learn(worker, serving, fills)
-        worst = min(serving, key=_headroom)
-        headroom = _headroom(worst)
-        if not fills or self._settling(worker):
-            return bool(fills) and headroom < HIGH_HEADROOM
-        if headroom < LOW_HEADROOM:
-            self._slow_down(worker, worst, fills)
-        elif headroom > HIGH_HEADROOM:
-            self._speed_up(worker, fills)
-        return headroom < HIGH_HEADROOM or any(
+        if serving:
+            self._learn(worker, serving, fills)
+        if not fills:
+            return False
+        worst = min(map(_headroom, serving), default=_FULL)
+        self._note_missed(worker, worst)
+        if not self._settling(worker):
+            if worst < LOW_HEADROOM:
+                self._relieve(worker, min(serving, key=_headroom), fills)
+            else:
+                self._resume(worker, serving, fills)
+        return worst < AIMED_HEADROOM or any(
             task.pace_percent < _FULL for task in fills
         )
 
@@ -66,39 +70,65 @@
         self, worker: WorkerView, serving: list[Task], fills: list[Task]
     ) -> None:
         capacity = worker.info.capacity.cpu_millicores or 1
+        now = self._clock.monotonic()
         loads: dict[str, float] = {}
         for task in fills:
             image = task.spec.image
             loads[image] = loads.get(image, 0) + task.measured / capacity
         for task in serving:
-            self._model.partial_fit(task.spec.image, loads, _headroom(task))
-        self._model.refresh(self._clock.monotonic())
-
-    def _slow_down(
-        self, worker: WorkerView, worst: Task, fills: list[Task]
+            self._model.partial_fit(
+                task.ref, task.spec.image, loads, _headroom(task), now
+            )
+        self._model.refresh(now)
+
+    def _relieve(self, worker: WorkerView, worst: Task, fills: list[Task]) -> None:
+        working = [task for task in fills if task.pace_percent != 0]
+        losses = {task: self._loss(worker, worst, task) for task in working}
+        working.sort(key=lambda task: -losses[task])
+        missing = AIMED_HEADROOM - _headroom(worst)
+        escalated = self._escalated(worker)
+        for task in working:
+            if not escalated and (missing <= 0 or losses[task] < NOTABLE_LOSS):
+                break
+            missing -= losses[task]
+            self._set_pace(worker, task, 0)
+            if self._movable(worker, task):
+                self._orders.stop(task, 'disturbs serving tasks')
+
+    def _resume(
+        self, worker: WorkerView, serving: list[Task], fills: list[Task]
     ) -> None:
-        capacity = worker.info.capacity.cpu_millicores or 1
-        causes = [
-            task
-            for task in fills
-            if task.pace_percent > 0
-            and self._loss(worst, task, capacity) > NOTABLE_LOSS
-        ]
-        stand_still = _headroom(worst) < MISSED_HEADROOM
-        for task in causes or [each for each in fills if each.pace_percent > 0]:
-            slowed = stand_still or task.pace_percent <= SLOW_PACE_PERCENT
-            self._set_pace(worker, task, 0 if slowed else SLOW_PACE_PERCENT)
-
-    def _loss(self, serving: Task, filling: Task, capacity: int) -> float:
+        left = {task: _headroom(task) - AIMED_HEADROOM for task in serving}
+        for task in fills:
+            if task.pace_percent == _FULL:
+                continue
+            losses = {each: self._loss(worker, each, task) for each in serving}
+            if all(losses[each] <= left[each] for each in serving):
+                self._set_pace(worker, task, _FULL)
+                for each in serving:
+                    left[each] -= losses[each]
+            elif self._movable(worker, task):
+                self._orders.stop(task, 'finds a better place')
+
+    def _movable(self, worker: WorkerView, task: Task) -> bool:
+        kept = task.spec.checkpointed or task.progress_percent <= MOVABLE_PERCENT
+        return kept and self._placer.better_place(worker, task)
+
+    def _loss(self, worker: WorkerView, serving: Task, filling: Task) -> float:
         weight = self._model.weight(serving.spec.image, filling.spec.image)
+        capacity = worker.info.capacity.cpu_millicores or 1
         return weight * filling.spec.demand.cpu_millicores / capacity
 
-    def _speed_up(self, worker: WorkerView, fills: list[Task]) -> bool:
-        slow = [task for task in fills if task.pace_percent < _FULL]
-        for task in slow:
-            pace = min(max(task.pace_percent, 0) + RECOVERY_PERCENT, _FULL)
-            self._set_pace(worker, task, pace)
-        return bool(slow)
+    def _note_missed(self, worker: WorkerView, headroom: float) -> None:
+        if headroom < 1:
+            now = self._clock.monotonic()
+            self._missed_since.setdefault(worker.worker_id, now)
+        else:
+            self._missed_since.pop(worker.worker_id, None)
+
+    def _escalated(self, worker: WorkerView) -> bool:
+        since = self._missed_since.get(worker.worker_id)
+        return since is not None and self._clock.monotonic() - since >= ESCALATION
 
     def _set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         self._changed_at[worker.worker_id] = self._clock.monotonic()
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -100,6 +100,7 @@
     def requeue(self, task: Task) -> None:
         """Lets a task wait for another run after its run has certainly ended."""
         task.release()
+        task.waiting_since = self._clock.monotonic()
         job = task.run_of.job
         self._writer.mark(job)
         if not job.state.terminal:
@@ -134,6 +135,8 @@
         for run in runs:
             if run.ready and not run.done and not run.job.state.terminal:
                 self.ready[run] = None
+                for task in run.tasks:
+                    task.waiting_since = self._clock.monotonic()
 
     def _schedule(self, job: Job) -> None:
         if job.all_opened or job.state.terminal:
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -21,8 +21,14 @@
 #: Headroom that filling tasks together may take from a serving task: its own load
 #: swings by more than half of what is left.
 LOSS_ALLOWED: Final = 0.45
+#: Weights below this are taken for estimation errors of harmless images.
+HARMLESS_WEIGHT: Final = 1.2
 #: Penalty for each unit of headroom lost beyond what is allowed.
 LOSS_PENALTY: Final = 2.0
+#: Excess from which a filling task rather waits for another worker.
+EXCESS_LIMIT: Final = 0.1
+#: Longest wait for a worker without excess.
+EXCESS_WAIT: Final = timedelta(seconds=3)
 
 
 class Placer:
@@ -66,14 +72,31 @@
     def choose(self, task: Task, candidates: Iterable[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None when it fits nowhere."""
         best, best_score = None, 0.0
+        waited = self._clock.monotonic() - task.waiting_since
+        patient = task.spec.fills and waited < EXCESS_WAIT
         for worker in candidates:
             if not fits(worker, task.spec) or self._barred(worker, task):
                 continue
+            if patient and self._excess_loss(worker, task.spec) > EXCESS_LIMIT:
+                continue
             score = self._score(worker, task)
             if best is None or score > best_score:
                 best, best_score = worker, score
         return best
 
+    def better_place(self, worker: WorkerView, task: Task) -> bool:
+        """Tells whether another worker could run a filling task undisturbed."""
+        now = self._clock.monotonic()
+        return any(
+            other is not worker
+            and other.info.service == worker.info.service
+            and self._accepts(other, now)
+            and fits(other, task.spec)
+            and not self._barred(other, task)
+            and self._excess_loss(other, task.spec) <= EXCESS_LIMIT
+            for other in self._workers.values()
+        )
+
     def _accepts(self, worker: WorkerView, now: timedelta) -> bool:
         return (
             worker.live
@@ -110,18 +133,21 @@
         capacity = worker.info.capacity.cpu_millicores or 1
         worst = 0.0
         for serving in worker.serving_images:
-            weights = self._model.weight
-            loss = weights(serving, spec.image) * spec.demand.cpu_millicores
+            loss = self._weight(serving, spec.image) * spec.demand.cpu_millicores
             for filling, millicores in worker.filling_images.items():
-                loss += weights(serving, filling) * millicores
+                loss += self._weight(serving, filling) * millicores
             worst = max(worst, loss / capacity)
         return max(worst - LOSS_ALLOWED, 0.0)
 
+    def _weight(self, serving: str, filling: str) -> float:
+        weight = self._model.weight(serving, filling)
+        return weight if weight >= HARMLESS_WEIGHT else 0.0
+
 
 def _room_left(worker: WorkerView, spec: StepSpec) -> float:
     """Returns the share of a worker's processors that is left after a start."""
     capacity = worker.info.capacity.cpu_millicores or 1
-    used = worker.cpu_millicores
+    used: float = worker.cpu_millicores
     if spec.fills:
         used -= (1 - SERVING_USE) * worker.serving_millicores
         used += worker.fill_millicores
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -1,82 +1,132 @@
 """Learns by how much filling tasks disturb serving ones, by pairs of images."""
 
+import math
 from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
+from chiveworks.workflow import TaskRef
+
 #: Headroom lost by a serving task when a filling task of an unknown image takes a
 #: whole worker. Headroom is the latency target over the tail latency.
-PRIOR_WEIGHT: Final = 1.2
-#: Strength of the prior, in sums of squared shares: about 50 reports of a task
-#: that takes a tenth of the worker.
-PRIOR_STRENGTH: Final = 0.5
+PRIOR_WEIGHT: Final = 1.0
+#: Strength of the prior, in sums of squared changes of shares.
+PRIOR_STRENGTH: Final = 0.3
 #: Share of what was learned that is kept after a second; the amounts change.
-KEPT_PER_SECOND: Final = 0.97
-#: Headroom of a serving task of an unknown image that nothing disturbs.
-PRIOR_BASE: Final = 2.5
+KEPT_PER_SECOND: Final = 0.98
+#: Time over which a task's own mean is taken. Its load swings over many seconds,
+#: so only changes that are faster are put down to filling tasks. One second gave
+#: the smallest error of 0.5, 1, 2 and 4 s on recorded reports.
+MEAN_TIME: Final = timedelta(seconds=1)
+#: Headroom above which differences say nothing.
+HEADROOM_LIMIT: Final = 4.5
 _SECOND: Final = timedelta(seconds=1)
 
 
+@dataclass(slots=True)
+class _Mean:
+    """Moving means of one serving task."""
+
+    at: timedelta
+    headroom: float
+    loads: dict[str, float]
+
+
 class _Sums:
     """Sums for the regression of one serving image."""
 
     def __init__(self) -> None:
-        self.count = 1.0
-        self.target = PRIOR_BASE
-        self.first: dict[str, float] = {}
+        self.images: set[str] = set()
         self.cross: dict[tuple[str, str], float] = {}
         self.product: dict[str, float] = {}
 
-    def add(self, loads: Mapping[str, float], headroom: float) -> None:
-        self.count += 1
-        self.target += headroom
-        items = list(loads.items())
-        for at, (image, share) in enumerate(items):
-            self.first[image] = self.first.get(image, 0) + share
-            self.product[image] = self.product.get(image, 0) + share * headroom
-            for other, other_share in items[at:]:
-                key = (image, other) if image <= other else (other, image)
-                self.cross[key] = self.cross.get(key, 0) + share * other_share
+    def add(self, changes: Mapping[str, float], headroom: float) -> None:
+        """Adds one report, given as differences from the task's means."""
+        items = sorted(changes.items())
+        self.images.update(changes)
+        for at, (image, change) in enumerate(items):
+            self.product[image] = self.product.get(image, 0) - change * headroom
+            for other, other_change in items[at:]:
+                key = (image, other)
+                self.cross[key] = self.cross.get(key, 0) + change * other_change
 
     def decay(self, factor: float) -> None:
-        self.count *= factor
-        self.target *= factor
-        for sums in (self.first, self.product):
-            for image in sums:
-                sums[image] *= factor
+        """Forgets a part of what was added."""
+        for image in self.product:
+            self.product[image] *= factor
         for pair in self.cross:
             self.cross[pair] *= factor
 
+    def fit(self) -> dict[str, float]:
+        """Returns the weight of each filling image."""
+        images = sorted(self.images)
+        rows = []
+        for image in images:
+            row = [
+                self.cross.get((min(image, other), max(image, other)), 0.0)
+                for other in images
+            ]
+            row.append(self.product[image] + PRIOR_STRENGTH * PRIOR_WEIGHT)
+            rows.append(row)
+        for at, row in enumerate(rows):
+            row[at] += PRIOR_STRENGTH
+        solved = _solve(rows)
+        return {
+            image: max(weight, 0.0) for image, weight in zip(images, solved, strict=True)
+        }
+
 
 class PressureModel:
-    """Linear model of the headroom of serving tasks.
+    """Linear model of the headroom that filling tasks take from serving ones.
 
-    For a serving image the headroom is `base_` less the sum over filling images of
+    For a serving image the headroom falls by the sum over filling images of
     `weights_` times the share of the worker that tasks of that image use. The fit
-    is a least-squares fit with a prior, and forgets slowly.
+    is a least-squares fit of short-term changes with a prior, and forgets slowly.
 
     Attributes:
-        base_: Headroom without filling tasks, by serving image.
         weights_: Headroom lost for a whole worker, by serving and filling image.
     """
 
     def __init__(self) -> None:
-        self.base_: dict[str, float] = {}
         self.weights_: dict[str, dict[str, float]] = {}
         self._sums: dict[str, _Sums] = {}
+        self._means: dict[TaskRef, _Mean] = {}
         self._fitted_at = timedelta()
 
     def partial_fit(
-        self, serving: str, loads: Mapping[str, float], headroom: float
+        self,
+        task: TaskRef,
+        serving: str,
+        loads: Mapping[str, float],
+        headroom: float,
+        now: timedelta,
     ) -> None:
         """Takes one report of a serving task.
 
         Args:
-            serving: Image of the serving task.
+            task: The serving task.
+            serving: Its image.
             loads: Share of the worker used by filling tasks, by image.
             headroom: Latency target over the reported tail latency.
+            now: Time of the report.
         """
-        self._sums.setdefault(serving, _Sums()).add(loads, headroom)
+        headroom = min(headroom, HEADROOM_LIMIT)
+        mean = self._means.get(task)
+        if mean is None:
+            self._means[task] = _Mean(now, headroom, dict(loads))
+            return
+        changes = {
+            image: loads.get(image, 0.0) - mean.loads.get(image, 0.0)
+            for image in {*loads, *mean.loads}
+        }
+        difference = headroom - mean.headroom
+        self._sums.setdefault(serving, _Sums()).add(changes, difference)
+        share = 1 - math.exp(-((now - mean.at) / MEAN_TIME))
+        mean.at = now
+        mean.headroom += share * difference
+        for image, change in changes.items():
+            mean.loads[image] = mean.loads.get(image, 0.0) + share * change
 
     def refresh(self, now: timedelta) -> bool:
         """Fits anew at most once a second; tells whether it did."""
@@ -87,42 +137,17 @@
         factor = KEPT_PER_SECOND ** min(elapsed, 60)
         for serving, sums in self._sums.items():
             sums.decay(factor)
-            self._fit(serving, sums)
+            self.weights_[serving] = sums.fit()
         return True
 
+    def forget(self, task: TaskRef) -> None:
+        """Drops the means of a task that has ended."""
+        self._means.pop(task, None)
+
     def weight(self, serving: str, filling: str) -> float:
         """Returns the headroom lost when `filling` takes a whole worker."""
         return self.weights_.get(serving, {}).get(filling, PRIOR_WEIGHT)
 
-    def _fit(self, serving: str, sums: _Sums) -> None:
-        images = sorted(sums.first)
-        mean = sums.target / sums.count
-        rows = []
-        for image in images:
-            row = [
-                _cross(sums, image, other)
-                - sums.first[image] * sums.first[other] / sums.count
-                for other in images
-            ]
-            # A higher share means a lower headroom, hence the sign.
-            row.append(sums.first[image] * mean - sums.product[image])
-            rows.append(row)
-        for at, row in enumerate(rows):
-            row[at] += PRIOR_STRENGTH
-            row[-1] += PRIOR_STRENGTH * PRIOR_WEIGHT
-        solved = _solve(rows)
-        weights = {
-            image: max(weight, 0.0) for image, weight in zip(images, solved, strict=True)
-        }
-        lost = sum(weights[image] * sums.first[image] for image in images)
-        self.weights_[serving] = weights
-        self.base_[serving] = mean + lost / sums.count
-
-
-def _cross(sums: _Sums, image: str, other: str) -> float:
-    key = (image, other) if image <= other else (other, image)
-    return sums.cross.get(key, 0.0)
-
 
 def _solve(rows: list[list[float]]) -> list[float]:
     """Solves a positive definite system by elimination; rows end in the right side."""
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -97,15 +97,10 @@
             self.orders.withdraw,
         )
         model = PressureModel()
-        self._assigner = Assigner(
-            clock,
-            log,
-            self.table,
-            Placer(clock, self.fleet.workers, evacuated, model),
-            service_of,
-        )
+        placer = Placer(clock, self.fleet.workers, evacuated, model)
+        self._assigner = Assigner(clock, log, self.table, placer, service_of)
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
-        self._guard = InterferenceGuard(clock, self.orders, model)
+        self._guard = InterferenceGuard(clock, self.orders, placer, model)
 
     async def run(self) -> None:
         """Schedules until the term is lost."""
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -56,6 +56,7 @@
         pace_percent: Share of its speed that the task was set to.
         claim_version: Version of the job's record that holds the claim.
         sent: Whether the start of the current run may have been sent.
+        waiting_since: When the task last began to wait for a worker.
         avoided: Workers on which the task failed or stood still.
     """
 
@@ -73,6 +74,7 @@
     pace_percent: int = 100
     claim_version: int = 0
     sent: bool = False
+    waiting_since: timedelta = timedelta()
     avoided: set[WorkerId] = field(default_factory=set)
 
     @property
