--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -27,6 +27,8 @@
 LOSS_PENALTY: Final = 2.0
 #: Excess from which a filling task rather waits for another worker.
 EXCESS_LIMIT: Final = 0.1
+#: Share of a worker's memory that filling tasks leave free.
+MEMORY_KEPT: Final = 0.12
 #: Longest wait for a worker without excess.
 EXCESS_WAIT: Final = timedelta(seconds=3)
 
@@ -77,7 +79,7 @@
         for worker in candidates:
             if not fits(worker, task.spec) or self._barred(worker, task):
                 continue
-            if patient and self._excess_loss(worker, task.spec) > EXCESS_LIMIT:
+            if patient and not self._undisturbed(worker, task.spec):
                 continue
             score = self._score(worker, task)
             if best is None or score > best_score:
@@ -93,7 +95,7 @@
             and self._accepts(other, now)
             and fits(other, task.spec)
             and not self._barred(other, task)
-            and self._excess_loss(other, task.spec) <= EXCESS_LIMIT
+            and self._undisturbed(other, task.spec)
             for other in self._workers.values()
         )
 
@@ -128,6 +130,12 @@
             score -= MIXED_IMAGES_PENALTY * len(others)
         return score
 
+    def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
+        """Whether a filling task gets the processors it asks for and harms nobody."""
+        if _room_left(worker, spec) < 0:
+            return False
+        return self._excess_loss(worker, spec) <= EXCESS_LIMIT
+
     def _excess_loss(self, worker: WorkerView, spec: StepSpec) -> float:
         """Returns by how much a serving task would lose too much headroom."""
         capacity = worker.info.capacity.cpu_millicores or 1
@@ -162,7 +170,10 @@
     if worker.accelerators + demand.accelerators > capacity.accelerators:
         return False
     if spec.fills:
-        return True
+        # What arrives next, and may not wait, needs memory too.
+        kept = int(MEMORY_KEPT * capacity.memory_bytes)
+        used = worker.memory_bytes + demand.memory_bytes
+        return used + kept <= capacity.memory_bytes
     return worker.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
 
 
