--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -41,9 +41,10 @@
 
     def assign(self) -> list[Task]:
         """Claims workers for all waiting tasks that fit; returns the tasks."""
+        now = self._clock.monotonic()
         claimed: list[Task] = []
         full: defaultdict[str, list[tuple[bool, Resources]]] = defaultdict(list)
-        for run in sorted(self._table.ready, key=_urgency):
+        for run in sorted(self._table.ready, key=lambda each: _urgency(each, now)):
             waiting = run.waiting()
             if not waiting:
                 self._table.ready.pop(run, None)
@@ -88,8 +89,7 @@
             attempt=task.attempt,
             worker=worker.worker_id,
             waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
-            free_millicores=worker.info.capacity.cpu_millicores
-            - worker.cpu_millicores,
+            free_millicores=worker.info.capacity.cpu_millicores - worker.cpu_millicores,
         )
 
     def _unclaim(self, claimed: list[Task]) -> None:
@@ -100,8 +100,10 @@
             task.release()
 
 
-def _urgency(run: StepRun) -> tuple[int, timedelta]:
-    return run.job.queue.priority, run.job.seen_at
+def _urgency(run: StepRun, now: timedelta) -> tuple[int, bool, timedelta]:
+    """Orders by priority; jobs that are late already come after the others."""
+    job = run.job
+    return job.queue.priority, job.deadline < now, job.deadline
 
 
 def _plain(run: StepRun) -> bool:
--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -7,8 +7,9 @@
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._recent_low import RecentLow
 from chiveworks.dispatch._worker_view import WorkerView
-from chiveworks.workflow import Task, TaskState
+from chiveworks.workflow import Task, TaskRef, TaskState
 
 #: Headroom below which filling tasks are paused.
 LOW_HEADROOM: Final = 1.12
@@ -16,6 +17,10 @@
 AIMED_HEADROOM: Final = 1.3
 #: Loss of headroom from which a filling task counts as a cause.
 NOTABLE_LOSS: Final = 0.12
+#: Headroom that placement leaves to a serving task at the peak of its load.
+KEPT_HEADROOM: Final = 1.15
+#: Time over which the peak of a serving task's load is looked for.
+LOW_WINDOW: Final = timedelta(seconds=6)
 #: Time over the target after which all filling tasks are paused, causes or not.
 ESCALATION: Final = timedelta(milliseconds=1200)
 #: Least time between two changes on a worker: a change shows in the figures, which
@@ -45,6 +50,7 @@
         self._placer = placer
         self._model = model
         self._changed_at: dict[WorkerId, timedelta] = {}
+        self._lows: dict[TaskRef, RecentLow] = {}
         self._missed_since: dict[WorkerId, timedelta] = {}
 
     def observe(self, worker: WorkerView) -> bool:
@@ -75,10 +81,18 @@
         for task in fills:
             image = task.spec.image
             loads[image] = loads.get(image, 0) + task.measured / capacity
+        spare: dict[str, float] = {}
         for task in serving:
-            self._model.partial_fit(
-                task.ref, task.spec.image, loads, _headroom(task), now
+            image, headroom = task.spec.image, _headroom(task)
+            self._model.partial_fit(task.ref, image, loads, headroom, now)
+            lost = sum(
+                self._model.weight(image, filling) * share
+                for filling, share in loads.items()
             )
+            lows = self._lows.setdefault(task.ref, RecentLow(LOW_WINDOW))
+            low = lows.update(headroom + lost, now) - KEPT_HEADROOM
+            spare[image] = min(spare.get(image, low), low)
+        worker.spare_headroom = spare
         self._model.refresh(now)
 
     def _relieve(self, worker: WorkerView, worst: Task, fills: list[Task]) -> None:
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -17,12 +17,14 @@
 AVOIDED_PENALTY: Final = 4.0
 #: Penalty for each further image that serves on a worker: the fewer images meet
 #: there, the more images of filling tasks disturb none of them.
-MIXED_IMAGES_PENALTY: Final = 0.4
-#: Headroom that filling tasks together may take from a serving task: its own load
-#: swings by more than half of what is left.
+MIXED_IMAGES_PENALTY: Final = 0.5
+#: Preference for a worker on which the same image serves already.
+SAME_IMAGE_BONUS: Final = 1.0
+#: Headroom that filling tasks together may take from serving tasks of an image as
+#: long as nothing has been seen of them.
 LOSS_ALLOWED: Final = 0.45
-#: Weights below this are taken for estimation errors of harmless images.
-HARMLESS_WEIGHT: Final = 1.2
+#: Least weight of an image; lower estimates are within their error.
+LEAST_WEIGHT: Final = 0.4
 #: Penalty for each unit of headroom lost beyond what is allowed.
 LOSS_PENALTY: Final = 2.0
 #: Excess from which a filling task rather waits for another worker.
@@ -119,17 +121,24 @@
     def _score(self, worker: WorkerView, task: Task) -> float:
         spec = task.spec
         score = _room_left(worker, spec)
+        if spec.serves:
+            score = self._serving_score(worker, spec, score)
         if spec.data_rack and spec.data_rack != worker.info.rack:
             score -= REMOTE_PENALTY
         if worker.worker_id in task.avoided:
             score -= AVOIDED_PENALTY
         if spec.fills:
             score -= LOSS_PENALTY * self._excess_loss(worker, spec)
-        elif spec.serves:
-            others = worker.serving_images.keys() - {spec.image}
-            score -= MIXED_IMAGES_PENALTY * len(others)
         return score
 
+    def _serving_score(
+        self, worker: WorkerView, spec: StepSpec, room_left: float
+    ) -> float:
+        """Returns how well a worker suits a serving task, by images and best fit."""
+        others = worker.serving_images.keys() - {spec.image}
+        same = spec.image in worker.serving_images
+        return SAME_IMAGE_BONUS * same - MIXED_IMAGES_PENALTY * len(others) - room_left
+
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
         """Whether a filling task gets the processors it asks for and harms nobody."""
         if _room_left(worker, spec) < 0:
@@ -144,12 +153,12 @@
             loss = self._weight(serving, spec.image) * spec.demand.cpu_millicores
             for filling, millicores in worker.filling_images.items():
                 loss += self._weight(serving, filling) * millicores
-            worst = max(worst, loss / capacity)
-        return max(worst - LOSS_ALLOWED, 0.0)
+            allowed = worker.spare_headroom.get(serving, LOSS_ALLOWED)
+            worst = max(worst, loss / capacity - allowed)
+        return worst
 
     def _weight(self, serving: str, filling: str) -> float:
-        weight = self._model.weight(serving, filling)
-        return weight if weight >= HARMLESS_WEIGHT else 0.0
+        return max(self._model.weight(serving, filling), LEAST_WEIGHT)
 
 
 def _room_left(worker: WorkerView, spec: StepSpec) -> float:
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -73,7 +73,8 @@
             row[at] += PRIOR_STRENGTH
         solved = _solve(rows)
         return {
-            image: max(weight, 0.0) for image, weight in zip(images, solved, strict=True)
+            image: max(weight, 0.0)
+            for image, weight in zip(images, solved, strict=True)
         }
 
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -123,7 +123,10 @@
         if job is None:
             job = self.table.add(submission, progress)
             self._log.write(
-                'job_taken', job=job.job_id, queue=job.queue.name, resumed=bool(progress)
+                'job_taken',
+                job=job.job_id,
+                queue=job.queue.name,
+                resumed=bool(progress),
             )
             for task in job.active_tasks():
                 self.fleet.adopt(task)
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -29,6 +29,8 @@
         filling_images: Processor claims of tasks that fill, by image.
         memory_bytes: Memory claims.
         accelerators: Accelerator claims.
+        spare_headroom: Headroom that filling tasks together may take from serving
+            tasks, by image.
         born_ms: Incarnation that answered last; 0 before the first answer.
         applied_end: Number of the last end that was applied.
         acknowledged: Number of the last end whose effect is durable.
@@ -53,6 +55,7 @@
         self.filling_images: Counter[str] = Counter()
         self.memory_bytes = 0
         self.accelerators = 0
+        self.spare_headroom: dict[str, float] = {}
         self.born_ms = 0
         self.applied_end = 0
         self.acknowledged = 0
--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -130,5 +130,3 @@
     def _notify(self, name: str, entry: _Entry | None) -> None:
         for listener in self._listeners:
             listener(name, entry)
-
-
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -126,9 +126,7 @@
         )
         return web.Response(status=200 if ready else 503)
 
-    def _on_operator_entry(
-        self, name: str, entry: QueueCatalogue | str | None
-    ) -> None:
+    def _on_operator_entry(self, name: str, entry: QueueCatalogue | str | None) -> None:
         if name != CONFIG_NAME:
             self._log.write('operator_request', name=name, present=entry is not None)
         elif isinstance(entry, QueueCatalogue):
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -106,9 +106,7 @@
         _unpack_task(job.occurrences[occurrence][step].tasks[index], row, state)
     for number, runs in job.occurrences.items():
         for run in runs:
-            run.done_count = sum(
-                task.state is TaskState.DONE for task in run.tasks
-            )
+            run.done_count = sum(task.state is TaskState.DONE for task in run.tasks)
         job.refresh_ready(number)
     if fields['failed']:
         job.state = JobState.FAILED
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -37,6 +37,7 @@
         seen_at: When the scheduler learned of the job.
         version: Number of the latest change of the progress.
         durable_version: Number of the latest change that the store holds.
+        deadline: When the job should be done, by its declared durations.
         started: Whether any task has ever been claimed.
     """
 
@@ -49,6 +50,7 @@
         self.version = 0
         self.durable_version = 0
         self.started = False
+        self.deadline = seen_at + _objective(submission)
 
     @property
     def job_id(self) -> JobId:
@@ -115,3 +117,13 @@
     def active_tasks(self) -> list[Task]:
         """Returns the tasks that hold room on a worker."""
         return [task for task in self.tasks() if task.active]
+
+
+def _objective(submission: Submission) -> timedelta:
+    """Returns the time that a job may take, by the longest chain of its steps."""
+    chains: list[timedelta] = []
+    for step in submission.spec.steps:
+        before = max((chains[earlier] for earlier in step.after), default=timedelta())
+        chains.append(before + step.estimate)
+    queue = submission.queue
+    return queue.stretch * max(chains, default=timedelta()) + queue.latency_objective
