--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -105,7 +105,8 @@
                 scheduler.accept(record, progress.pop(name, None))
 
         jobs.subscribe(take)
-        for replica in (workers, jobs):
+        # Jobs come first: a worker's list can only be judged with all jobs known.
+        for replica in (jobs, workers):
             while term.valid and not replica.synced:
                 await replica.step()
         took = self._clock.monotonic() - started_at
