Stop adopted runs of jobs that have ended

Cause: a new leader learns of cancelled jobs before it knows their workers, and gave no stop; the runs went on (UNASKED). Each report now stops what is not wanted.

--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -93,6 +93,8 @@
                 continue
             listed.add(row.ref)
             _update(task, row, now)
+            if _unwanted(task):
+                self._stop(task, 'the job has ended')
         return listed
 
     def _apply_end(self, worker: WorkerView, end: EndRow) -> None:
@@ -156,6 +158,13 @@
                 self.release(worker, task, 'not listed by the worker')
 
 
+def _unwanted(task: Task) -> bool:
+    """Whether a run goes on though its job, or the task itself, has ended."""
+    if task.state is TaskState.DONE:
+        return True
+    return task.run_of.job.state.terminal and task.state is not TaskState.STOPPING
+
+
 def _update(task: Task, row: RunRow, now: timedelta) -> None:
     if task.state is TaskState.CLAIMED:
         task.state = TaskState.RUNNING
