--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -76,7 +76,10 @@
     async def _look(self, wait: timedelta) -> bool:
         worker = self._worker
         asked_at = self._clock.monotonic()
-        lease_end = worker.lease.extend(asked_at) if self._term.valid else None
+        # A look without an answer may have extended the lease all the same, so a
+        # silent worker is looked at without extending it: the lease must lapse.
+        extends = worker.live and self._term.valid
+        lease_end = worker.lease.extend(asked_at) if extends else None
         answer = await worker.control.hold(
             self._term.token, worker.acknowledge(), lease_end, wait
         )
