Separate images strictly, do not count paused tasks, keep what was learned across leaders

Cause: serving images were mixed on most workers, so that few places were left without a harmful pair; each new leader learned the pairs anew.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -12,6 +12,7 @@
 from chiveworks.events import EventLog
 from chiveworks.metastore import (
     JOB_PREFIX,
+    PRESSURE_KEY,
     PROGRESS_PREFIX,
     Election,
     MetadataStore,
@@ -94,6 +95,9 @@
         """Reads what earlier terms stored; returns what follows the changes."""
         started_at = self._clock.monotonic()
         progress = await self._read_progress(term)
+        learned = await self._store.read(PRESSURE_KEY, stale=True)
+        if not isinstance(learned, Err) and learned.ok_value.content:
+            scheduler.model.load(learned.ok_value.content)
         workers = self._follow_workers()
         workers.subscribe(scheduler.fleet.update)
         jobs: Replica[_Record] = Replica(
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -80,7 +80,7 @@
 
     def set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         """Lets a run work at a share of its speed."""
-        task.pace_percent = percent
+        worker.set_pace(task, percent)
         self._spawn(self._pace(worker, task, percent))
 
     async def _start(self, task: Task, worker: WorkerView, ticket: str) -> None:
@@ -187,7 +187,8 @@
                 'run_paced', task, worker, percent=percent, outcome=outcome.value
             )
             if outcome is not OrderOutcome.ACCEPTED and task.attempt == attempt:
-                task.pace_percent = -1
+                # The next report finds the pace to differ and sets it again.
+                worker.set_pace(task, -1)
 
     def _log_order(
         self, event: str, task: Task, worker: WorkerView, **fields: object
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -17,7 +17,7 @@
 AVOIDED_PENALTY: Final = 4.0
 #: Penalty for each further image that serves on a worker: the fewer images meet
 #: there, the more images of filling tasks disturb none of them.
-MIXED_IMAGES_PENALTY: Final = 0.5
+MIXED_IMAGES_PENALTY: Final = 3.0
 #: Preference for a worker on which the same image serves already.
 SAME_IMAGE_BONUS: Final = 1.0
 #: Headroom that filling tasks together may take from serving tasks of an image as
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 from typing import Final
 
+import msgpack
+
 from chiveworks.workflow import TaskRef
 
 #: Headroom lost by a serving task when a filling task of an unknown image takes a
@@ -58,7 +60,7 @@
         for pair in self.cross:
             self.cross[pair] *= factor
 
-    def fit(self) -> dict[str, float]:
+    def fit(self, priors: Mapping[str, float]) -> dict[str, float]:
         """Returns the weight of each filling image."""
         images = sorted(self.images)
         rows = []
@@ -67,7 +69,8 @@
                 self.cross.get((min(image, other), max(image, other)), 0.0)
                 for other in images
             ]
-            row.append(self.product[image] + PRIOR_STRENGTH * PRIOR_WEIGHT)
+            prior = priors.get(image, PRIOR_WEIGHT)
+            row.append(self.product[image] + PRIOR_STRENGTH * prior)
             rows.append(row)
         for at, row in enumerate(rows):
             row[at] += PRIOR_STRENGTH
@@ -91,6 +94,7 @@
 
     def __init__(self) -> None:
         self.weights_: dict[str, dict[str, float]] = {}
+        self._priors: dict[str, dict[str, float]] = {}
         self._sums: dict[str, _Sums] = {}
         self._means: dict[TaskRef, _Mean] = {}
         self._fitted_at = timedelta()
@@ -138,9 +142,20 @@
         factor = KEPT_PER_SECOND ** min(elapsed, 60)
         for serving, sums in self._sums.items():
             sums.decay(factor)
-            self.weights_[serving] = sums.fit()
+            priors = self._priors.get(serving, {})
+            self.weights_[serving] = {**priors, **sums.fit(priors)}
         return True
 
+    def dump(self) -> bytes:
+        """Returns what was learned, for a later process."""
+        packed: bytes = msgpack.packb(self.weights_)
+        return packed
+
+    def load(self, packed: bytes) -> None:
+        """Takes what an earlier process learned as the prior."""
+        self._priors = msgpack.unpackb(packed)
+        self.weights_ = {name: dict(pairs) for name, pairs in self._priors.items()}
+
     def forget(self, task: TaskRef) -> None:
         """Drops the means of a task that has ended."""
         self._means.pop(task, None)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -27,7 +27,7 @@
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.metastore import PENDING_KEY, Term, TermLostError, job_key
+from chiveworks.metastore import PENDING_KEY, PRESSURE_KEY, Term, TermLostError, job_key
 from chiveworks.workflow import (
     Job,
     JobState,
@@ -40,6 +40,8 @@
 TICK: Final = timedelta(milliseconds=50)
 #: How often the number of waiting jobs is published; readers allow 2 s.
 PENDING_GAP: Final = timedelta(milliseconds=700)
+#: How often what was learned of interference is stored for a later leader.
+PRESSURE_GAP: Final = timedelta(seconds=3)
 #: Least time between two rounds of assignment.
 ROUND_GAP: Final = timedelta(milliseconds=4)
 
@@ -74,7 +76,7 @@
         self._wake = asyncio.Event()
         self._children: set[asyncio.Task[None]] = set()
         self._ended: deque[tuple[timedelta, JobId]] = deque()
-        self._published: bytes = b''
+        self._published: dict[str, bytes] = {}
         self._unsent: dict[JobId, list[Task]] = {}
         self.writer = ProgressWriter(term, clock, self._on_durable)
         self.fleet = Fleet(
@@ -96,11 +98,11 @@
             self.orders.stop,
             self.orders.withdraw,
         )
-        model = PressureModel()
-        placer = Placer(clock, self.fleet.workers, evacuated, model)
+        self.model = PressureModel()
+        placer = Placer(clock, self.fleet.workers, evacuated, self.model)
         self._assigner = Assigner(clock, log, self.table, placer, service_of)
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
-        self._guard = InterferenceGuard(clock, self.orders, placer, model)
+        self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
     async def run(self) -> None:
         """Schedules until the term is lost."""
@@ -213,6 +215,7 @@
 
     async def _tick(self) -> None:
         published_at = timedelta()
+        learned_at = self._clock.monotonic()
         while self._term.valid:
             await self._clock.sleep(TICK)
             now = self._clock.monotonic()
@@ -225,13 +228,19 @@
             if now - published_at > PENDING_GAP:
                 published_at = now
                 self._publish_pending()
+            if now - learned_at > PRESSURE_GAP:
+                learned_at = now
+                self._publish(PRESSURE_KEY, self.model.dump())
         self._wake.set()
 
     def _publish_pending(self) -> None:
         packed: bytes = msgpack.packb(dict(self.table.pending()))
-        if packed != self._published:
-            self._published = packed
-            self.writer.put(PENDING_KEY, packed)
+        self._publish(PENDING_KEY, packed)
+
+    def _publish(self, key: str, packed: bytes) -> None:
+        if self._published.get(key) != packed:
+            self._published[key] = packed
+            self.writer.put(key, packed)
 
     def _forget_old(self, now: timedelta) -> None:
         while self._ended and now - self._ended[0][0] > 2 * self._bounds.retention:
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -78,6 +78,13 @@
         if self.tasks.pop(task.ref, None) is not None:
             self._count(task, -1)
 
+    def set_pace(self, task: Task, percent: int) -> None:
+        """Notes the pace of a run; a paused one uses no processor time."""
+        if task.spec.fills and task.ref in self.tasks:
+            works = int(percent != 0) - int(task.pace_percent != 0)
+            self._count_filling(task, works)
+        task.pace_percent = percent
+
     def acknowledge(self) -> int:
         """Returns the number up to which all ends have durable effects."""
         pending = self.unacknowledged
@@ -96,8 +103,7 @@
     def _count(self, task: Task, sign: int) -> None:
         spec, demand = task.spec, task.spec.demand
         if spec.fills:
-            self.fill_millicores += sign * demand.cpu_millicores
-            _adjust(self.filling_images, spec.image, sign * demand.cpu_millicores)
+            self._count_filling(task, sign if task.pace_percent else 0)
         else:
             self.cpu_millicores += sign * demand.cpu_millicores
         if spec.serves:
@@ -106,6 +112,11 @@
         self.memory_bytes += sign * demand.memory_bytes
         self.accelerators += sign * demand.accelerators
 
+    def _count_filling(self, task: Task, sign: int) -> None:
+        change = sign * task.spec.demand.cpu_millicores
+        self.fill_millicores += change
+        _adjust(self.filling_images, task.spec.image, change)
+
 
 def _adjust(amounts: Counter[str], image: str, change: int) -> None:
     amounts[image] += change
--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -4,6 +4,7 @@
 from chiveworks.metastore._keys import (
     JOB_PREFIX,
     PENDING_KEY,
+    PRESSURE_KEY,
     PROGRESS_PREFIX,
     job_key,
     progress_key,
@@ -23,6 +24,7 @@
 __all__ = (
     'JOB_PREFIX',
     'PENDING_KEY',
+    'PRESSURE_KEY',
     'PROGRESS_PREFIX',
     'Change',
     'Committed',
--- a/chiveworks/metastore/_keys.py
+++ b/chiveworks/metastore/_keys.py
@@ -16,6 +16,9 @@
 #: Number of jobs for which nothing has started, by queue.
 PENDING_KEY: Final = 'chiveworks/pending'
 
+#: What the leader has learned of interference between images.
+PRESSURE_KEY: Final = 'chiveworks/pressure'
+
 
 def job_key(job_id: JobId) -> str:
     """Returns the key of a job's record."""
