--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -1,7 +1,7 @@
 """Goes through what may start and claims workers for it."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from chiveworks.base import Clock, Resources
@@ -44,7 +44,7 @@
         now = self._clock.monotonic()
         claimed: list[Task] = []
         full: defaultdict[str, list[tuple[bool, Resources]]] = defaultdict(list)
-        for run in sorted(self._table.ready, key=lambda each: _urgency(each, now)):
+        for run in _by_urgency(self._table.ready, now):
             waiting = run.waiting()
             if not waiting:
                 self._table.ready.pop(run, None)
@@ -89,7 +89,8 @@
             attempt=task.attempt,
             worker=worker.worker_id,
             waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
-            free_millicores=worker.info.capacity.cpu_millicores - worker.cpu_millicores,
+            free_millicores=worker.info.capacity.cpu_millicores
+            - worker.room.cpu_millicores,
         )
 
     def _unclaim(self, claimed: list[Task]) -> None:
@@ -100,6 +101,10 @@
             task.release()
 
 
+def _by_urgency(runs: Iterable[StepRun], now: timedelta) -> list[StepRun]:
+    return sorted(runs, key=lambda run: _urgency(run, now))
+
+
 def _urgency(run: StepRun, now: timedelta) -> tuple[int, bool, timedelta]:
     """Orders by priority; jobs that are late already come after the others."""
     job = run.job
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -37,7 +37,7 @@
         log: EventLog,
         writer: ProgressWriter,
         stop: Callable[[Task, str], None],
-        early: timedelta = timedelta(),
+        early: timedelta,
     ) -> None:
         self.jobs: dict[JobId, Job] = {}
         self.ready: dict[StepRun, None] = {}
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -77,18 +77,14 @@
 
     def choose(self, task: Task, candidates: Iterable[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None when it fits nowhere."""
-        best, best_score = None, 0.0
         waited = self._clock.monotonic() - task.waiting_since
         patient = task.spec.fills and waited < EXCESS_WAIT
-        for worker in candidates:
-            if not fits(worker, task.spec) or self._barred(worker, task):
-                continue
-            if patient and not self._undisturbed(worker, task.spec):
-                continue
-            score = self._score(worker, task)
-            if best is None or score > best_score:
-                best, best_score = worker, score
-        return best
+        suitable = [
+            worker
+            for worker in candidates
+            if self._suits(worker, task, patient=patient)
+        ]
+        return max(suitable, key=lambda worker: self._score(worker, task), default=None)
 
     def better_place(self, worker: WorkerView, task: Task) -> bool:
         """Tells whether another worker could run a filling task undisturbed."""
@@ -113,6 +109,12 @@
             and not self._evacuated(worker.info.zone)
         )
 
+    def _suits(self, worker: WorkerView, task: Task, *, patient: bool) -> bool:
+        spec = task.spec
+        if not fits(worker, spec) or self._barred(worker, task):
+            return False
+        return not patient or self._undisturbed(worker, spec)
+
     def _barred(self, worker: WorkerView, task: Task) -> bool:
         spec = task.spec
         if task.ref in worker.tasks:
@@ -137,8 +139,8 @@
         self, worker: WorkerView, spec: StepSpec, room_left: float
     ) -> float:
         """Returns how well a worker suits a serving task, by images and best fit."""
-        others = worker.serving_images.keys() - {spec.image}
-        same = spec.image in worker.serving_images
+        others = worker.room.serving_images.keys() - {spec.image}
+        same = spec.image in worker.room.serving_images
         return SAME_IMAGE_BONUS * same - MIXED_IMAGES_PENALTY * len(others) - room_left
 
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
@@ -150,14 +152,16 @@
     def _excess_loss(self, worker: WorkerView, spec: StepSpec) -> float:
         """Returns by how much a serving task would lose too much headroom."""
         capacity = worker.info.capacity.cpu_millicores or 1
-        worst = 0.0
-        for serving in worker.serving_images:
+        excess: float = 0
+        for serving in worker.room.serving_images:
             loss = self._weight(serving, spec.image) * spec.demand.cpu_millicores
-            for filling, millicores in worker.filling_images.items():
-                loss += self._weight(serving, filling) * millicores
+            loss += sum(
+                self._weight(serving, filling) * millicores
+                for filling, millicores in worker.room.filling_images.items()
+            )
             allowed = worker.spare_headroom.get(serving, LOSS_ALLOWED)
-            worst = max(worst, loss / capacity - allowed)
-        return worst
+            excess = max(excess, loss / capacity - allowed)
+        return excess
 
     def _weight(self, serving: str, filling: str) -> float:
         weight = self._model.weight(serving, filling)
@@ -167,26 +171,26 @@
 def _room_left(worker: WorkerView, spec: StepSpec) -> float:
     """Returns the share of a worker's processors that is left after a start."""
     capacity = worker.info.capacity.cpu_millicores or 1
-    used: float = worker.cpu_millicores
+    used: float = worker.room.cpu_millicores
     if spec.fills:
-        used -= (1 - SERVING_USE) * worker.serving_millicores
-        used += worker.fill_millicores
+        used -= (1 - SERVING_USE) * worker.room.serving_millicores
+        used += worker.room.fill_millicores
     return (capacity - used - spec.demand.cpu_millicores) / capacity
 
 
 def fits(worker: WorkerView, spec: StepSpec) -> bool:
     """Tells whether a worker has room for a task of a step."""
     capacity, demand = worker.info.capacity, spec.demand
-    if worker.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
+    if worker.room.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
         return False
-    if worker.accelerators + demand.accelerators > capacity.accelerators:
+    if worker.room.accelerators + demand.accelerators > capacity.accelerators:
         return False
     if spec.fills:
         # What arrives next, and may not wait, needs memory too.
         kept = int(MEMORY_KEPT * capacity.memory_bytes)
-        used = worker.memory_bytes + demand.memory_bytes
+        used = worker.room.memory_bytes + demand.memory_bytes
         return used + kept <= capacity.memory_bytes
-    return worker.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
+    return worker.room.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
 
 
 def _same_step(worker: WorkerView, task: Task) -> int:
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -1,6 +1,7 @@
 """Learns by how much filling tasks disturb serving ones, by pairs of images."""
 
 import math
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -8,6 +9,7 @@
 
 import msgpack
 
+from chiveworks.dispatch._linear_system import solve_linear
 from chiveworks.workflow import TaskRef
 
 #: Headroom lost by a serving task when a filling task of an unknown image takes a
@@ -39,19 +41,15 @@
     """Sums for the regression of one serving image."""
 
     def __init__(self) -> None:
-        self.images: set[str] = set()
-        self.cross: dict[tuple[str, str], float] = {}
-        self.product: dict[str, float] = {}
+        self.product: defaultdict[str, float] = defaultdict(float)
+        self.cross: defaultdict[tuple[str, str], float] = defaultdict(float)
 
     def add(self, changes: Mapping[str, float], headroom: float) -> None:
         """Adds one report, given as differences from the task's means."""
-        items = sorted(changes.items())
-        self.images.update(changes)
-        for at, (image, change) in enumerate(items):
-            self.product[image] = self.product.get(image, 0) - change * headroom
-            for other, other_change in items[at:]:
-                key = (image, other)
-                self.cross[key] = self.cross.get(key, 0) + change * other_change
+        for image, change in changes.items():
+            self.product[image] -= change * headroom
+            for other, other_change in changes.items():
+                self.cross[image, other] += change * other_change
 
     def decay(self, factor: float) -> None:
         """Forgets a part of what was added."""
@@ -62,24 +60,21 @@
 
     def fit(self, priors: Mapping[str, float]) -> dict[str, float]:
         """Returns the weight of each filling image."""
-        images = sorted(self.images)
-        rows = []
-        for image in images:
-            row = [
-                self.cross.get((min(image, other), max(image, other)), 0.0)
-                for other in images
-            ]
-            prior = priors.get(image, PRIOR_WEIGHT)
-            row.append(self.product[image] + PRIOR_STRENGTH * prior)
-            rows.append(row)
-        for at, row in enumerate(rows):
-            row[at] += PRIOR_STRENGTH
-        solved = _solve(rows)
+        images = sorted(self.product)
+        rows = [self._row(image, images, priors) for image in images]
+        solved = solve_linear(rows)
         return {
-            image: max(weight, 0.0)
-            for image, weight in zip(images, solved, strict=True)
+            image: max(weight, 0) for image, weight in zip(images, solved, strict=True)
         }
 
+    def _row(
+        self, image: str, images: list[str], priors: Mapping[str, float]
+    ) -> list[float]:
+        row = [self.cross[image, other] for other in images]
+        row[images.index(image)] += PRIOR_STRENGTH
+        prior = priors.get(image, PRIOR_WEIGHT)
+        return [*row, self.product[image] + PRIOR_STRENGTH * prior]
+
 
 class PressureModel:
     """Linear model of the headroom that filling tasks take from serving ones.
@@ -122,8 +117,8 @@
             self._means[task] = _Mean(now, headroom, dict(loads))
             return
         changes = {
-            image: loads.get(image, 0.0) - mean.loads.get(image, 0.0)
-            for image in {*loads, *mean.loads}
+            image: loads.get(image, 0) - mean.loads.get(image, 0)
+            for image in loads.keys() | mean.loads.keys()
         }
         difference = headroom - mean.headroom
         self._sums.setdefault(serving, _Sums()).add(changes, difference)
@@ -131,7 +126,7 @@
         mean.at = now
         mean.headroom += share * difference
         for image, change in changes.items():
-            mean.loads[image] = mean.loads.get(image, 0.0) + share * change
+            mean.loads[image] = mean.loads.get(image, 0) + share * change
 
     def refresh(self, now: timedelta) -> bool:
         """Fits anew at most once a second; tells whether it did."""
@@ -163,21 +158,3 @@
     def weight(self, serving: str, filling: str) -> float:
         """Returns the headroom lost when `filling` takes a whole worker."""
         return self.weights_.get(serving, {}).get(filling, PRIOR_WEIGHT)
-
-
-def _solve(rows: list[list[float]]) -> list[float]:
-    """Solves a positive definite system by elimination; rows end in the right side."""
-    size = len(rows)
-    for pivot in range(size):
-        pivot_row = rows[pivot]
-        for row in rows[pivot + 1 :]:
-            factor = row[pivot] / pivot_row[pivot]
-            if factor:
-                for column in range(pivot, size + 1):
-                    row[column] -= factor * pivot_row[column]
-    solution = [0.0] * size
-    for pivot in reversed(range(size)):
-        row = rows[pivot]
-        known = sum(row[at] * solution[at] for at in range(pivot + 1, size))
-        solution[pivot] = (row[size] - known) / row[pivot]
-    return solution
--- /dev/null
+++ b/chiveworks/dispatch/_worker_room.py
@@ -0,0 +1,54 @@
+"""What the claims and runs on a worker take of it."""
+
+from collections import Counter
+
+from chiveworks.workflow import Task
+
+
+class WorkerRoom:
+    """Sums of the demands of all tasks that are claimed for or run on a worker.
+
+    Attributes:
+        cpu_millicores: Processor claims of tasks that do not fill.
+        fill_millicores: Processor claims of tasks that fill and are not paused.
+        serving_millicores: Processor claims of tasks with a latency target.
+        memory_bytes: Memory claims.
+        accelerators: Accelerator claims.
+        serving_images: Tasks with a latency target, by image.
+        filling_images: Processor claims of tasks that fill and are not paused, by
+            image.
+    """
+
+    def __init__(self) -> None:
+        self.cpu_millicores = 0
+        self.fill_millicores = 0
+        self.serving_millicores = 0
+        self.memory_bytes = 0
+        self.accelerators = 0
+        self.serving_images: Counter[str] = Counter()
+        self.filling_images: Counter[str] = Counter()
+
+    def count(self, task: Task, sign: int) -> None:
+        """Adds the demand of a task, or takes it off when `sign` is -1."""
+        spec, demand = task.spec, task.spec.demand
+        if spec.fills:
+            self.count_filling(task, sign if task.pace_percent else 0)
+        else:
+            self.cpu_millicores += sign * demand.cpu_millicores
+        if spec.serves:
+            self.serving_millicores += sign * demand.cpu_millicores
+            _adjust(self.serving_images, spec.image, sign)
+        self.memory_bytes += sign * demand.memory_bytes
+        self.accelerators += sign * demand.accelerators
+
+    def count_filling(self, task: Task, sign: int) -> None:
+        """Adds or takes off the processor time of a filling task alone."""
+        change = sign * task.spec.demand.cpu_millicores
+        self.fill_millicores += change
+        _adjust(self.filling_images, task.spec.image, change)
+
+
+def _adjust(amounts: Counter[str], image: str, change: int) -> None:
+    amounts[image] += change
+    if amounts[image] <= 0:
+        amounts.pop(image)
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -1,12 +1,13 @@
 """What the scheduler knows of one worker."""
 
-from collections import Counter, deque
+from collections import deque
 from datetime import timedelta
 
 from chiveworks.base import WorkerId
 from chiveworks.dispatch._worker_control import WorkerControl
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.dispatch._worker_lease import WorkerLease
+from chiveworks.dispatch._worker_room import WorkerRoom
 from chiveworks.workflow import Job, Task, TaskRef
 
 
@@ -22,13 +23,7 @@
         lease: Estimate of its lease.
         live: Whether the latest look was answered.
         tasks: Tasks that are claimed for it or run on it.
-        cpu_millicores: Processor claims of tasks that do not fill.
-        fill_millicores: Processor claims of tasks that fill.
-        serving_millicores: Processor claims of tasks with a latency target.
-        serving_images: Tasks with a latency target, by image.
-        filling_images: Processor claims of tasks that fill, by image.
-        memory_bytes: Memory claims.
-        accelerators: Accelerator claims.
+        room: What its tasks take of it.
         spare_headroom: Headroom that filling tasks together may take from serving
             tasks, by image.
         born_ms: Incarnation that answered last; 0 before the first answer.
@@ -48,13 +43,7 @@
         self.lease = lease
         self.live = False
         self.tasks: dict[TaskRef, Task] = {}
-        self.cpu_millicores = 0
-        self.fill_millicores = 0
-        self.serving_millicores = 0
-        self.serving_images: Counter[str] = Counter()
-        self.filling_images: Counter[str] = Counter()
-        self.memory_bytes = 0
-        self.accelerators = 0
+        self.room = WorkerRoom()
         self.spare_headroom: dict[str, float] = {}
         self.born_ms = 0
         self.applied_end = 0
@@ -71,18 +60,18 @@
     def add(self, task: Task) -> None:
         """Takes room for a run."""
         self.tasks[task.ref] = task
-        self._count(task, 1)
+        self.room.count(task, 1)
 
     def remove(self, task: Task) -> None:
         """Frees the room of a run that has certainly ended."""
         if self.tasks.pop(task.ref, None) is not None:
-            self._count(task, -1)
+            self.room.count(task, -1)
 
     def set_pace(self, task: Task, percent: int) -> None:
         """Notes the pace of a run; a paused one uses no processor time."""
         if task.spec.fills and task.ref in self.tasks:
             works = int(percent != 0) - int(task.pace_percent != 0)
-            self._count_filling(task, works)
+            self.room.count_filling(task, works)
         task.pace_percent = percent
 
     def acknowledge(self) -> int:
@@ -100,29 +89,6 @@
         self.unacknowledged.clear()
         self.lease.restart(now)
 
-    def _count(self, task: Task, sign: int) -> None:
-        spec, demand = task.spec, task.spec.demand
-        if spec.fills:
-            self._count_filling(task, sign if task.pace_percent else 0)
-        else:
-            self.cpu_millicores += sign * demand.cpu_millicores
-        if spec.serves:
-            self.serving_millicores += sign * demand.cpu_millicores
-            _adjust(self.serving_images, spec.image, sign)
-        self.memory_bytes += sign * demand.memory_bytes
-        self.accelerators += sign * demand.accelerators
-
-    def _count_filling(self, task: Task, sign: int) -> None:
-        change = sign * task.spec.demand.cpu_millicores
-        self.fill_millicores += change
-        _adjust(self.filling_images, task.spec.image, change)
-
-
-def _adjust(amounts: Counter[str], image: str, change: int) -> None:
-    amounts[image] += change
-    if amounts[image] <= 0:
-        amounts.pop(image)
-
 
 def _durable(job: Job | None, version: int) -> bool:
     return job is None or job.durable_version >= version
--- a/chiveworks/intake/_queue_catalogue.py
+++ b/chiveworks/intake/_queue_catalogue.py
@@ -67,7 +67,8 @@
     ) -> 'QueueCatalogue':
         """Returns a catalogue whose routes are ordered for look-ups."""
         by_host: dict[str, list[QueueRoute]] = {}
-        for route in sorted(routes, key=lambda each: -len(each.prefix)):
+        longest_first = sorted(routes, key=lambda route: -len(route.prefix))
+        for route in longest_first:
             by_host.setdefault(route.host, []).append(route)
         return cls(version, by_host, services, limits)
 
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -63,7 +63,7 @@
         """Whether the store is known to name no leader."""
         return self.leader.synced and not self.leader.entries
 
-    def bar(self, duration: timedelta) -> None:
+    def stand_aside(self, duration: timedelta) -> None:
         """Keeps this process from contending for a while."""
         self._barred_until = self._clock.monotonic() + duration
 
--- a/chiveworks/platform/_channel.py
+++ b/chiveworks/platform/_channel.py
@@ -65,7 +65,8 @@
 
     async def reset(self) -> None:
         """Drops all connections; the next call opens new ones."""
-        caller, self._caller = self._caller, None
+        caller = self._caller
+        self._caller = None
         if caller is not None:
             await caller.session.close()
 
--- a/chiveworks/platform/_decoding.py
+++ b/chiveworks/platform/_decoding.py
@@ -18,6 +18,8 @@
 _MEGABYTE: Final = 1024 * 1024
 _EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
 _DEFAULTS: Final = IntakeLimits()
+# What decoders raise on fields that are missing or of another type.
+_MALFORMED: Final = (KeyError, TypeError, AttributeError, ValueError, OverflowError)
 _STATES: Final = frozenset(('ready', 'draining'))
 
 
@@ -27,7 +29,7 @@
         return name
     try:
         return _decode_catalogue(json.loads(content))
-    except (ValueError, KeyError, TypeError):
+    except _MALFORMED:
         return None
 
 
@@ -38,7 +40,7 @@
         if fields['state'] not in _STATES:
             return None
         return _decode_worker(WorkerId(name), fields)
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except _MALFORMED:
         return None
 
 
@@ -50,7 +52,7 @@
     """
     try:
         return _decode_job(json.loads(body))
-    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+    except _MALFORMED as error:
         raise ValueError(f'the body is not a job: {error!r}') from error
 
 
--- a/chiveworks/platform/_worker_client.py
+++ b/chiveworks/platform/_worker_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 from functools import lru_cache
+from types import MappingProxyType
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -33,21 +34,25 @@
 # Names of tasks recur in every look while they run.
 _CACHED_NAMES: Final = 20_000
 
-_REASONS: Final = {
-    'fence': OrderOutcome.FENCED,
-    'old': OrderOutcome.SUPERSEDED,
-    'late': OrderOutcome.EXPIRED,
-    'room': OrderOutcome.NO_ROOM,
-    'ticket': OrderOutcome.NO_TICKET,
-}
-_ENDS: Final = {
-    'done': EndKind.DONE,
-    'failed': EndKind.FAILED,
-    'stopped': EndKind.STOPPED,
-    'lapsed': EndKind.LAPSED,
-    'broken': EndKind.GANG_BROKEN,
-    'alone': EndKind.GANG_ALONE,
-}
+_REASONS: Final = MappingProxyType(
+    {
+        'fence': OrderOutcome.FENCED,
+        'old': OrderOutcome.SUPERSEDED,
+        'late': OrderOutcome.EXPIRED,
+        'room': OrderOutcome.NO_ROOM,
+        'ticket': OrderOutcome.NO_TICKET,
+    }
+)
+_ENDS: Final = MappingProxyType(
+    {
+        'done': EndKind.DONE,
+        'failed': EndKind.FAILED,
+        'stopped': EndKind.STOPPED,
+        'lapsed': EndKind.LAPSED,
+        'broken': EndKind.GANG_BROKEN,
+        'alone': EndKind.GANG_ALONE,
+    }
+)
 
 
 class HttpWorker:
@@ -115,7 +120,7 @@
             return Ok(None)
         try:
             return Ok(_decode_report(reply))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except (LookupError, TypeError, ValueError) as error:
             message = f'status {status}, unusable list: {error!r}'
             return Err(Failure.unknown(Step.RENEW, 'worker', message))
 
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -63,7 +63,7 @@
         if 'state' in fields:
             return JobState(fields['state'])
         return _unpack_submission(job_id, fields)
-    except (TypeError, KeyError, LookupError, msgpack.UnpackException) as error:
+    except (TypeError, LookupError, msgpack.UnpackException) as error:
         raise ValueError(f'the record of job {job_id} cannot be read') from error
 
 
@@ -124,14 +124,16 @@
     task.state = TaskState(state)
     if task.state is TaskState.DONE:
         return
-    task.attempt, task.failures, worker, task.checkpoint = row[4:8]
-    task.worker = WorkerId(worker) if worker else None
+    task.attempt = row[4]
+    task.failures = row[5]
+    task.worker = WorkerId(row[6]) if row[6] else None
+    task.checkpoint = row[7]
     # The former owner may have sent the start at any time after the claim.
     task.sent = task.active
 
 
-def _pack_step(step: StepSpec) -> tuple[Any, ...]:
-    return (
+def _pack_step(step: StepSpec) -> list[Any]:
+    return [
         step.count,
         step.demand.cpu_millicores,
         step.demand.memory_bytes,
@@ -150,7 +152,7 @@
         step.latency_target / _MILLISECOND,
         step.fills,
         step.unavailable_limit,
-    )
+    ]
 
 
 def _unpack_step(row: list[Any]) -> StepSpec:
@@ -175,7 +177,7 @@
 
 
 def _unpack_submission(job_id: JobId, fields: dict[str, Any]) -> Submission:
-    name, service, priority, attempts, stretch, objective_ms, advised = fields['queue']
+    queue = fields['queue']
     recurrence = None
     if fields['recurrence']:
         count, first_ms, interval_ms = fields['recurrence']
@@ -185,13 +187,13 @@
     return Submission(
         job_id,
         QueuePolicy(
-            name,
-            service,
-            priority,
-            attempts,
-            stretch,
-            objective_ms * _MILLISECOND,
-            advised,
+            name=queue[0],
+            service=queue[1],
+            priority=queue[2],
+            attempt_limit=queue[3],
+            stretch=queue[4],
+            latency_objective=queue[5] * _MILLISECOND,
+            advised=queue[6],
         ),
         JobSpec(
             fields['payload'],
