Test the new scheduler against stand-ins in memory

The tests found four more: a log line without fields was no JSON, the count of dropped lines was lost while the pipe was full, long lines could be cut, and empty records raised another error.

--- /dev/null
+++ b/chiveworks/dispatch/tests/site.py
@@ -0,0 +1,155 @@
+"""A deployment in memory for tests of the dispatcher."""
+
+import asyncio
+from datetime import timedelta
+
+from chiveworks.base import (
+    EntryId,
+    JobId,
+    ManualClock,
+    Resources,
+    WorkerId,
+    ZoneName,
+)
+from chiveworks.dispatch import Leader, Scheduler, SchedulingBounds, WorkerInfo
+from chiveworks.events import EventLog
+from chiveworks.intake import JobIntake
+from chiveworks.metastore import Election, Replica
+from chiveworks.workflow import JobSpec, QueuePolicy, StepSpec, Submission
+from standins.metadata import MemoryMetadataStore
+from standins.runners import LEASE_LIMIT, MemoryRunner
+
+GIGABYTE = 1024**3
+BOUNDS = SchedulingBounds(
+    LEASE_LIMIT, timedelta(milliseconds=250), timedelta(seconds=120)
+)
+QUEUE = QueuePolicy('urgent', 'pool', attempt_limit=3)
+
+
+class RecordingLog(EventLog):
+    """Keeps events instead of writing them."""
+
+    def __init__(self, clock):
+        super().__init__(clock, {})
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append((event, fields))
+
+    def named(self, event):
+        return [fields for name, fields in self.events if name == event]
+
+
+class Site:
+    """Workers, a store, and any number of processes that may lead."""
+
+    def __init__(self, workers=2, cores=4):
+        self.clock = ManualClock()
+        self.store = MemoryMetadataStore(self.clock)
+        self.log = RecordingLog(self.clock)
+        self.runners = {}
+        self.infos = {}
+        self.evacuated = set()
+        self.intake = JobIntake(self.store, self.clock, self.log)
+        self._tasks = []
+        for number in range(workers):
+            self.add_worker(f'w{number}', cores)
+
+    def add_worker(self, name, cores=4, **fields):
+        self.runners[name] = MemoryRunner(self.clock)
+        self.change_worker(
+            name, capacity=Resources(cores * 1000, 64 * GIGABYTE), **fields
+        )
+
+    def change_worker(self, name, **fields):
+        known = {
+            'worker_id': WorkerId(name),
+            'service': 'pool',
+            'address': name,
+            'zone': ZoneName('zone'),
+            'draining': False,
+        }
+        known.update(self.infos.get(name, {}))
+        known.update(fields)
+        self.infos[name] = known
+        self.store.put(f'workers/{name}', b'%d' % self.clock.monotonic().microseconds)
+
+    def process(self, name):
+        """Starts a process that contends for leadership; returns its task."""
+        election = Election(
+            self.store, self.clock, self.log, EntryId(name), timedelta()
+        )
+        leader = Leader(
+            self.store,
+            self.clock,
+            self.log,
+            election,
+            self._create_scheduler,
+            self._follow_workers,
+        )
+        self.spawn(election.leader.run())
+        return self.spawn(leader.run())
+
+    def spawn(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.append(task)
+        return task
+
+    async def kill(self, task):
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def close(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def submit(self, name, *steps, queue=QUEUE):
+        spec = JobSpec('payload', tuple(steps) or (StepSpec(1, Resources(1000, 1)),))
+        call = self.spawn(self.intake.submit(Submission(JobId(name), queue, spec)))
+        await self.clock.advance(timedelta(milliseconds=50))
+        return call.result()
+
+    async def state(self, name):
+        call = self.spawn(self.intake.state(JobId(name)))
+        await self.clock.advance(timedelta(milliseconds=50))
+        return call.result()
+
+    async def wait(self, seconds):
+        await self.clock.advance(timedelta(seconds=seconds))
+
+    def starts(self):
+        """Returns the tasks that workers have started, in any order."""
+        return [
+            entry[1]
+            for runner in self.runners.values()
+            for entry in runner.history
+            if entry[0] == 'start'
+        ]
+
+    def done(self):
+        """Returns the tasks that workers have ended as done."""
+        return [
+            entry[1]
+            for runner in self.runners.values()
+            if runner.running is not None
+            for entry in runner.history
+            if entry[0] == 'done'
+        ]
+
+    def _create_scheduler(self, term):
+        return Scheduler(
+            term,
+            self.clock,
+            self.log,
+            BOUNDS,
+            lambda info: self.runners[info.address],
+            lambda job: job.queue.service,
+            lambda zone: zone in self.evacuated,
+        )
+
+    def _follow_workers(self):
+        def decode(name, _content):
+            return WorkerInfo(**self.infos[name])
+
+        return Replica(self.store, 'workers/', decode, self.clock, self.log)
--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 from collections import Counter
 from datetime import timedelta
 from typing import Final
@@ -31,7 +32,7 @@
     ) -> None:
         self._clock = clock
         self._descriptor = descriptor
-        self._fields = json.dumps(fields)[1:-1]
+        self._fields = fields
         self._window_at = timedelta()
         self._written: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
@@ -46,28 +47,28 @@
         if now - self._window_at >= _SECOND:
             self._start_window(now)
         self._written[event] += 1
-        if self._written[event] > LINES_PER_SECOND:
+        over = self._written[event] > LINES_PER_SECOND
+        if over or not self._emit(event, fields):
             self.dropped[event] += 1
-        else:
-            self._emit(event, fields)
 
     def _start_window(self, now: timedelta) -> None:
         self._window_at = now
         self._written.clear()
-        if self.dropped:
-            dropped = dict(self.dropped)
+        if self.dropped and self._emit('log_lines_dropped', {'counts': self.dropped}):
             self.dropped.clear()
-            self._emit('log_lines_dropped', {'counts': dropped})
 
-    def _emit(self, event: str, fields: dict[str, object]) -> None:
-        rest = json.dumps(fields, default=str, separators=(',', ':'))[1:]
-        comma = ',' if fields else ''
-        line = f'{{"at":{self._clock.now().timestamp():.3f},"event":"{event}",{self._fields}{comma}{rest}\n'
+    def _emit(self, event: str, fields: dict[str, object]) -> bool:
+        """Writes a line; tells whether the descriptor took it."""
+        head = {'at': round(self._clock.now().timestamp(), 3), 'event': event}
+        line = json.dumps(
+            {**head, **self._fields, **fields}, default=str, separators=(',', ':')
+        )
+        encoded = f'{line}\n'.encode()
+        # Up to this length a pipe takes a line as a whole or not at all.
+        if len(encoded) > select.PIPE_BUF:
+            return False
         try:
-            written = os.write(self._descriptor, line.encode())
+            os.write(self._descriptor, encoded)
         except BlockingIOError:
-            self.dropped[event] += 1
-            return
-        if written < len(line):
-            # A pipe takes part of a line only when it is nearly full.
-            self.dropped[event] += 1
+            return False
+        return True
--- /dev/null
+++ b/chiveworks/events/tests/test_event_log.py
@@ -0,0 +1,61 @@
+"""The log under a reader that does not read."""
+
+import json
+import os
+import time
+from datetime import timedelta
+
+from chiveworks.base import ManualClock
+from chiveworks.events import EventLog
+from chiveworks.events._event_log import LINES_PER_SECOND
+
+
+def read_lines(descriptor):
+    os.set_blocking(descriptor, False)
+    text = b''
+    try:
+        while chunk := os.read(descriptor, 1 << 16):
+            text += chunk
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in text.splitlines()]
+
+
+def test_a_stopped_reader_blocks_nothing_and_drops_are_counted():
+    """Guards against a process that waits for, or buffers, its own log."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = EventLog(clock, {'process': 'p'}, writer)
+    log.open()
+    written = 10_000
+    slowest = 0
+    for number in range(written):
+        clock.shift(timedelta(microseconds=100))
+        before = time.perf_counter()
+        log.write(f'event{number % 100}', number=number, text='x' * 100)
+        slowest = max(slowest, time.perf_counter() - before)
+    assert slowest < 0.25
+    lines = read_lines(reader)
+    dropped = sum(log.dropped.values())
+    assert dropped > 0
+    assert len([line for line in lines if 'number' in line]) + dropped == written
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_of_one_event_are_bounded_and_the_rest_is_reported():
+    """Guards against one event that crowds out all others."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = EventLog(clock, {}, writer)
+    log.open()
+    clock.shift(timedelta(seconds=2))
+    for _ in range(LINES_PER_SECOND + 7):
+        log.write('busy')
+    clock.shift(timedelta(seconds=1))
+    log.write('calm')
+    lines = read_lines(reader)
+    assert sum(line['event'] == 'busy' for line in lines) == LINES_PER_SECOND
+    assert {'busy': 7} in [line.get('counts') for line in lines]
+    os.close(reader)
+    os.close(writer)
--- /dev/null
+++ b/chiveworks/platform/tests/test_decoding.py
@@ -0,0 +1,111 @@
+"""What operators, workers and clients write, well and badly formed."""
+
+import json
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from chiveworks.base import Resources
+from chiveworks.platform import read_boot_settings
+from chiveworks.platform._decoding import (
+    decode_job,
+    decode_operator_entry,
+    decode_worker,
+)
+from chiveworks.platform._worker_client import decode_ref, encode_ref
+
+WORKER = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'state': 'draining',
+    'remaining_ms': 1500,
+    'capacity': {'cpu': 16000, 'mem_mb': 2},
+    'labels': ['a', 'r1-3'],
+    'born': 7,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {'name': 'r', 'host': 'h', 'prefix': '/p/', 'service': 's', 'max_attempts': 3}
+    ],
+    'services': [{'name': 's', 'enforces_capacity': True}],
+}
+
+
+def test_a_worker_entry_is_decoded():
+    """Guards against units and labels that are mixed up."""
+    info = decode_worker('w', json.dumps(WORKER).encode())
+    assert info.draining and info.rack == 'r1-3' and info.born_ms == 7
+    assert info.remaining == timedelta(seconds=1.5)
+    assert info.capacity == Resources(16000, 2 * 1024 * 1024)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'\xff', b'[]', b'{}', json.dumps({**WORKER, 'state': 'odd'}).encode()],
+)
+def test_foreign_worker_entries_name_no_worker(content):
+    """Guards against entries of other writers that stop the process."""
+    assert decode_worker('w', content) is None
+
+
+def test_the_configuration_is_decoded():
+    """Guards against queues that are lost between the wire and the product."""
+    catalogue = decode_operator_entry('config', json.dumps(CONFIG).encode())
+    assert catalogue.find('h', '/p/0').policy.attempt_limit == 3
+    assert catalogue.services == {'s': True}
+    assert decode_operator_entry('config', b'{"version":') is None
+    assert decode_operator_entry('evacuate/z', b'{}') == 'evacuate/z'
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"steps":[]}',
+        b'{"steps":[{"count":0}]}',
+        b'{"steps":[{"count":1,"cpu":-1}]}',
+        b'{"steps":[{"count":1,"after":[0]}]}',
+        b'{"steps":[{"count":1e999}]}',
+        b'{"steps":[{"count":1,"after":[1]},{"count":1}]}',
+        b'{"steps":[{"count":"x"}]}',
+        b'\xff\xfe',
+    ],
+)
+def test_bad_jobs_are_rejected(body):
+    """Guards against input of clients that reaches the scheduler."""
+    with pytest.raises(ValueError):
+        decode_job(body)
+
+
+def test_absent_fields_of_a_job_are_zero():
+    """Guards against fields that the wire omits because they are 0 or false."""
+    spec = decode_job(b'{"spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":1}]}')
+    step = spec.steps[0]
+    assert step.demand == Resources(500, 1024 * 1024)
+    assert not step.gang and not step.serves and spec.recurrence is None
+
+
+def test_names_of_tasks_are_kept():
+    """Guards against reports that are matched with another task."""
+    name = '5c0e7a21d94b36f8.0.1.17'
+    assert encode_ref(decode_ref(name)) == name
+
+
+def test_settings_are_read(tmp_path: Path):
+    """Guards against settings whose unknown fields stop a process."""
+    path = tmp_path / 'local.toml'
+    path.write_text(
+        'node = "n"\nzone = "z"\nnews = 1\n'
+        '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
+        '[limits]\ncpu_share = 0.5\ncores = 2\n'
+        '[bounds]\ngrace_s = 6\nhold_max_ms = 6000\nearly_ms = 250\nstatus_s = 120\n'
+        '[platform]\naddress = "10.0.0.9:3"\n'
+    )
+    settings = read_boot_settings(path)
+    assert settings.front == ('10.0.0.1', 1) and settings.cores == 1.0
+    assert settings.bounds.lease_limit == timedelta(seconds=6)
+    assert not settings.cloud
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -14,6 +14,14 @@
 from chiveworks.workflow._task import Task, TaskState
 
 _MILLISECOND: Final = timedelta(milliseconds=1)
+# What bytes of another writer raise; MessagePack's own errors included.
+_MALFORMED: Final = (
+    TypeError,
+    LookupError,
+    AttributeError,
+    ValueError,
+    msgpack.UnpackException,
+)
 _EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
 
 
@@ -63,7 +71,7 @@
         if 'state' in fields:
             return JobState(fields['state'])
         return _unpack_submission(job_id, fields)
-    except (TypeError, LookupError, msgpack.UnpackException) as error:
+    except _MALFORMED as error:
         raise ValueError(f'the record of job {job_id} cannot be read') from error
 
 
@@ -93,7 +101,7 @@
     """
     try:
         _restore(job, msgpack.unpackb(stored))
-    except (TypeError, LookupError, msgpack.UnpackException) as error:
+    except _MALFORMED as error:
         raise ValueError(f'the progress of job {job.job_id} cannot be read') from error
 
 
--- /dev/null
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -0,0 +1,114 @@
+"""Stored forms of jobs and of their progress."""
+
+from datetime import datetime, timedelta, timezone
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chiveworks.base import JobId, RackName, Resources, WorkerId
+from chiveworks.workflow import (
+    Job,
+    JobSpec,
+    JobState,
+    QueuePolicy,
+    Recurrence,
+    StepSpec,
+    Submission,
+    TaskState,
+    decode_record,
+    encode_end,
+    encode_progress,
+    encode_submission,
+    restore_progress,
+)
+
+AMOUNTS = st.integers(0, 10**9)
+STEPS = st.builds(
+    StepSpec,
+    count=st.integers(1, 5),
+    demand=st.builds(Resources, AMOUNTS, AMOUNTS, st.integers(0, 8)),
+    estimate=st.integers(0, 10**6).map(lambda ms: timedelta(milliseconds=ms)),
+    checkpointed=st.booleans(),
+    gang=st.booleans(),
+    required_label=st.text(max_size=5),
+    data_rack=st.text(max_size=5).map(RackName),
+    worker_limit=st.integers(0, 3),
+    long_running=st.booleans(),
+    image=st.text(max_size=5),
+    latency_target=st.sampled_from((timedelta(), timedelta(milliseconds=18.5))),
+    fills=st.booleans(),
+    unavailable_limit=st.integers(0, 3),
+)
+RECURRENCE = Recurrence(
+    3, datetime(2026, 5, 1, tzinfo=timezone.utc), timedelta(milliseconds=1500)
+)
+SUBMISSIONS = st.builds(
+    Submission,
+    st.just(JobId('5c0e7a21d94b36f8')),
+    st.builds(QueuePolicy, st.text(max_size=8), st.text(max_size=8)),
+    st.builds(
+        JobSpec,
+        st.text(max_size=50),
+        st.lists(STEPS, min_size=1, max_size=3).map(tuple),
+        st.sampled_from((None, RECURRENCE)),
+    ),
+    st.booleans(),
+)
+
+
+@given(SUBMISSIONS)
+def test_a_submission_survives_storage(submission):
+    """Guards against fields that are lost or swapped when a leader changes."""
+    stored = encode_submission(submission)
+    assert decode_record(submission.job_id, stored) == submission
+
+
+@given(SUBMISSIONS, st.data())
+def test_progress_survives_storage(submission, source):
+    """Guards against a new leader that knows other runs than the former one."""
+    job = Job(submission, timedelta())
+    job.open_occurrence(0)
+    for task in job.tasks():
+        if task.state is TaskState.DONE:
+            continue
+        step = source.draw(st.integers(0, 3))
+        if step:
+            task.claim(WorkerId('w'))
+            task.failures = step
+        if step == 2:
+            task.run_of.finish(task)
+        if step == 3:
+            task.checkpoint = 'c'
+            task.release()
+    restored = Job(submission, timedelta())
+    restore_progress(restored, encode_progress(job))
+    assert _facts(restored) == _facts(job)
+
+
+def test_an_end_is_told_from_a_submission():
+    """Guards against a finished job that is taken for a new one."""
+    assert decode_record(JobId('j'), encode_end(JobState.FAILED)) is JobState.FAILED
+
+
+@pytest.mark.parametrize('stored', [b'', b'\xc1', b'\x01', b'\x81\xa1a\x01'])
+def test_foreign_bytes_are_rejected(stored):
+    """Guards against a record of another writer that stops the leader."""
+    with pytest.raises(ValueError, match='cannot be read'):
+        decode_record(JobId('j'), stored)
+
+
+def _facts(job):
+    return [
+        (
+            task.ref,
+            task.state,
+            *(() if task.state is TaskState.DONE else _run(task)),
+            task.run_of.done_count,
+        )
+        for task in job.tasks()
+    ]
+
+
+def _run(task):
+    return task.attempt, task.failures, task.worker, task.checkpoint
--- /dev/null
+++ b/standins/runners/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in for workers that run tasks of jobs, in memory."""
+
+from standins.runners._memory_runner import LEASE_LIMIT, MemoryRunner
+
+__all__ = ('LEASE_LIMIT', 'MemoryRunner')
