--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -61,36 +61,66 @@
         service: str,
         full: list[tuple[bool, Resources]],
     ) -> list[Task]:
+        if run.spec.gang and len(waiting) < run.spec.count:
+            # The members of the last run have not all ended.
+            return []
+        if run.spec.gang:
+            run.share_checkpoint()
         candidates = self._placer.candidates(run, service)
+        claimed: list[Task] = []
+        for group in self._groups(run, candidates):
+            claimed = self._claim_all(waiting, group, whole=run.spec.gang)
+            if len(claimed) == len(waiting):
+                break
+            if run.spec.tightly_coupled and group is not candidates:
+                self._unclaim(claimed)
+        if len(claimed) == len(waiting):
+            self._table.ready.pop(run, None)
+        elif _plain(run):
+            full.append((run.spec.fills, run.spec.demand))
+        for task in claimed:
+            self._log_claim(task)
+        return claimed
+
+    def _groups(
+        self, run: StepRun, candidates: list[WorkerView]
+    ) -> list[list[WorkerView]]:
+        """Returns the sets of workers to try; coupled tasks try single racks first."""
+        if not run.spec.tightly_coupled:
+            return [candidates]
+        racks: defaultdict[str, list[WorkerView]] = defaultdict(list)
+        for worker in candidates:
+            racks[worker.info.rack].append(worker)
+        return [*sorted(racks.values(), key=_used), candidates]
+
+    def _claim_all(
+        self, waiting: list[Task], workers: list[WorkerView], *, whole: bool
+    ) -> list[Task]:
         claimed: list[Task] = []
         for task in waiting:
-            worker = self._placer.choose(task, candidates)
+            worker = self._placer.choose(task, workers)
             if worker is None:
-                if _plain(run):
-                    full.append((run.spec.fills, run.spec.demand))
                 break
-            self._claim(task, worker)
+            task.claim(worker.worker_id)
+            worker.add(task)
             claimed.append(task)
-        if run.spec.gang and len(claimed) < run.spec.count:
+        if whole and len(claimed) < len(waiting):
             self._unclaim(claimed)
             return []
-        if len(claimed) == len(waiting):
-            self._table.ready.pop(run, None)
         return claimed
 
-    def _claim(self, task: Task, worker: WorkerView) -> None:
-        task.claim(worker.worker_id)
-        worker.add(task)
+    def _log_claim(self, task: Task) -> None:
+        worker = self._placer.worker_of(task)
         job = task.run_of.job
         self._log.write(
             'task_claimed',
             job=task.ref.job_id,
             task=task.ref[1:],
             attempt=task.attempt,
-            worker=worker.worker_id,
+            worker=task.worker,
             waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
-            free_millicores=worker.info.capacity.cpu_millicores
-            - worker.room.cpu_millicores,
+            free_millicores=worker
+            and worker.info.capacity.cpu_millicores - worker.room.cpu_millicores,
         )
 
     def _unclaim(self, claimed: list[Task]) -> None:
@@ -98,7 +128,7 @@
             worker = self._placer.worker_of(task)
             if worker is not None:
                 worker.remove(task)
-            task.release()
+            task.unclaim()
 
 
 def _by_urgency(runs: Iterable[StepRun], now: timedelta) -> list[StepRun]:
@@ -111,6 +141,12 @@
     return job.queue.priority, job.deadline < now, job.deadline
 
 
+def _used(workers: list[WorkerView]) -> float:
+    """Returns the share of a rack's processors that is claimed."""
+    capacity = sum(worker.info.capacity.cpu_millicores for worker in workers)
+    return sum(worker.room.cpu_millicores for worker in workers) / max(capacity, 1)
+
+
 def _plain(run: StepRun) -> bool:
     """Whether only room decides where tasks of the step may run."""
     spec = run.spec
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -33,6 +33,9 @@
 EXCESS_LIMIT: Final = 0.1
 #: Share of a worker's memory that filling tasks leave free.
 MEMORY_KEPT: Final = 0.12
+#: Longest wait of other tasks for the rack of their data: elsewhere they take
+#: several times as long.
+RACK_WAIT: Final = timedelta(seconds=1)
 #: Longest wait for a worker without excess.
 EXCESS_WAIT: Final = timedelta(seconds=3)
 
@@ -78,7 +81,8 @@
     def choose(self, task: Task, candidates: Iterable[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None when it fits nowhere."""
         waited = self._clock.monotonic() - task.waiting_since
-        patient = task.spec.fills and waited < EXCESS_WAIT
+        limit = EXCESS_WAIT if task.spec.fills else RACK_WAIT
+        patient = waited < limit
         suitable = [
             worker
             for worker in candidates
@@ -113,7 +117,9 @@
         spec = task.spec
         if not fits(worker, spec) or self._barred(worker, task):
             return False
-        return not patient or self._undisturbed(worker, spec)
+        if patient and spec.fills:
+            return self._undisturbed(worker, spec)
+        return not (patient and spec.data_rack and spec.data_rack != worker.info.rack)
 
     def _barred(self, worker: WorkerView, task: Task) -> bool:
         spec = task.spec
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -148,7 +148,9 @@
         job = task.run_of.job
         if task.spec.long_running or job.state.terminal:
             return False
-        return task.failures >= job.queue.attempt_limit
+        run = task.run_of
+        failures = run.failures if run.spec.gang else task.failures
+        return failures >= job.queue.attempt_limit
 
     def _release_missing(
         self, worker: WorkerView, listed: set[TaskRef], asked_at: timedelta
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -175,6 +175,11 @@
 
     def _on_released(self, worker: WorkerView, task: Task, reason: str) -> None:
         self.tracker.release(worker, task, reason)
+        if task.spec.gang:
+            # The others would wait for this member in vain.
+            for member in task.run_of.tasks:
+                if member.state in {TaskState.CLAIMED, TaskState.RUNNING}:
+                    self.orders.stop(member, 'a member of the gang was not started')
 
     def _on_report(self, worker: WorkerView) -> None:
         session = self.fleet.sessions.get(worker.worker_id)
--- a/chiveworks/workflow/_step_run.py
+++ b/chiveworks/workflow/_step_run.py
@@ -45,6 +45,30 @@
         """Returns the tasks that a worker is to be found for."""
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
+    def next_attempt(self, task: Task) -> int:
+        """Returns the number of a task's next run; members of a gang share it."""
+        if not self.spec.gang:
+            return task.attempt + 1
+        open_claims = [
+            member.attempt
+            for member in self.tasks
+            if member.state is TaskState.CLAIMED and not member.sent
+        ]
+        highest = max(member.attempt for member in self.tasks)
+        return max(open_claims, default=highest + 1)
+
+    def share_checkpoint(self) -> None:
+        """Gives all members of a gang the same checkpoint."""
+        known = (member.checkpoint for member in self.tasks if member.checkpoint)
+        shared = next(known, '')
+        for member in self.tasks:
+            member.checkpoint = shared
+
+    @property
+    def failures(self) -> int:
+        """Failed runs of all tasks; of a gang, each ends with one failed member."""
+        return sum(task.failures for task in self.tasks)
+
     def finish(self, task: Task) -> None:
         """Records that a task is done; a gang is done with its first member."""
         members = self.tasks if self.spec.gang else (task,)
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -89,7 +89,7 @@
 
     def claim(self, worker: WorkerId) -> None:
         """Assigns the next run to a worker; the start has not been sent."""
-        self.attempt += 1
+        self.attempt = self.run_of.next_attempt(self)
         self.state = TaskState.CLAIMED
         self.worker = worker
         self.sent = False
@@ -98,6 +98,11 @@
         self.pace_percent = 100
         self.measured = 0
 
+    def unclaim(self) -> None:
+        """Takes back a claim that nobody has been told of."""
+        self.release()
+        self.attempt -= 1
+
     def release(self) -> None:
         """Lets the task wait again after its run has certainly ended."""
         self.state = TaskState.WAITING
