--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -7,6 +7,7 @@
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._trend import Trend
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import Task, TaskRef, TaskState
 
@@ -16,13 +17,8 @@
 AIMED_HEADROOM: Final = 1.3
 #: Loss of headroom from which a filling task counts as a cause.
 NOTABLE_LOSS: Final = 0.12
-#: Headroom that placement leaves to a serving task at the peak of its load.
-KEPT_HEADROOM: Final = 1.05
-#: Headroom of an undisturbed serving task at the peak of its load, in shares of
-#: its mean: recorded loads swing by half around 0.42 of the reserved time.
-PEAK_SHARE: Final = 0.64
-#: Weight of a new report in the mean headroom of an undisturbed serving task.
-BASE_SHARE: Final = 0.1
+#: Headroom that placement leaves to a serving task while a filling task runs.
+KEPT_HEADROOM: Final = 1.15
 #: Time over the target after which all filling tasks are paused, causes or not.
 ESCALATION: Final = timedelta(milliseconds=1200)
 #: Least time between two changes on a worker: a change shows in the figures, which
@@ -52,7 +48,7 @@
         self._placer = placer
         self._model = model
         self._changed_at: dict[WorkerId, timedelta] = {}
-        self._bases: dict[TaskRef, float] = {}
+        self._bases: dict[TaskRef, Trend] = {}
         self._missed_since: dict[WorkerId, timedelta] = {}
 
     def observe(self, worker: WorkerView) -> bool:
@@ -91,10 +87,8 @@
                 self._model.weight(image, filling) * share
                 for filling, share in loads.items()
             )
-            base = self._bases.get(task.ref, headroom + lost)
-            base += BASE_SHARE * (headroom + lost - base)
-            self._bases[task.ref] = base
-            left = PEAK_SHARE * base - KEPT_HEADROOM
+            trend = self._bases.setdefault(task.ref, Trend())
+            left = trend.update(headroom + lost, now) - KEPT_HEADROOM
             spare[image] = min(spare.get(image, left), left)
         worker.spare_headroom = spare
         self._model.refresh(now)
