--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -31,6 +31,10 @@
 LOSS_PENALTY: Final = 2.0
 #: Excess from which a filling task rather waits for another worker.
 EXCESS_LIMIT: Final = 0.1
+#: Share of a worker's processors by which claims of filling tasks may exceed what
+#: is left: tasks that are being started, restored or ended use none, and reports
+#: show half of what is claimed in use.
+OVERCOMMIT: Final = 0.3
 #: Share of a worker's memory that filling tasks leave free.
 MEMORY_KEPT: Final = 0.12
 #: Longest wait of other tasks for the rack of their data: elsewhere they take
@@ -151,7 +155,7 @@
 
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
         """Whether a filling task gets the processors it asks for and harms nobody."""
-        if _room_left(worker, spec) < 0:
+        if _room_left(worker, spec) < -OVERCOMMIT:
             return False
         return self._excess_loss(worker, spec) <= EXCESS_LIMIT
 
