--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -18,7 +18,7 @@
 #: Loss of headroom from which a filling task counts as a cause.
 NOTABLE_LOSS: Final = 0.12
 #: Headroom that placement leaves to a serving task while a filling task runs.
-KEPT_HEADROOM: Final = 1.15
+KEPT_HEADROOM: Final = 1.35
 #: Time over the target after which all filling tasks are paused, causes or not.
 ESCALATION: Final = timedelta(milliseconds=1200)
 #: Least time between two changes on a worker: a change shows in the figures, which
