--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -12,9 +12,9 @@
 from chiveworks.workflow import Task, TaskRef, TaskState
 
 #: Headroom below which filling tasks are paused.
-LOW_HEADROOM: Final = 1.12
+LOW_HEADROOM: Final = 1.25
 #: Headroom that pausing aims for, and that must be left after a resumption.
-AIMED_HEADROOM: Final = 1.3
+AIMED_HEADROOM: Final = 1.45
 #: Loss of headroom from which a filling task counts as a cause.
 NOTABLE_LOSS: Final = 0.12
 #: Headroom that placement leaves to a serving task while a filling task runs.
