--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -12,13 +12,13 @@
 from chiveworks.workflow import Task, TaskRef, TaskState
 
 #: Headroom below which filling tasks are paused.
-LOW_HEADROOM: Final = 1.25
+LOW_HEADROOM: Final = 1.12
 #: Headroom that pausing aims for, and that must be left after a resumption.
-AIMED_HEADROOM: Final = 1.45
+AIMED_HEADROOM: Final = 1.3
 #: Loss of headroom from which a filling task counts as a cause.
 NOTABLE_LOSS: Final = 0.12
 #: Headroom that placement leaves to a serving task while a filling task runs.
-KEPT_HEADROOM: Final = 1.35
+KEPT_HEADROOM: Final = 1.15
 #: Time over the target after which all filling tasks are paused, causes or not.
 ESCALATION: Final = timedelta(milliseconds=1200)
 #: Least time between two changes on a worker: a change shows in the figures, which
