--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -135,10 +135,18 @@
     return sorted(runs, key=lambda run: _urgency(run, now))
 
 
-def _urgency(run: StepRun, now: timedelta) -> tuple[int, bool, timedelta]:
-    """Orders by priority; jobs that are late already come after the others."""
+def _urgency(run: StepRun, now: timedelta) -> tuple[int, int, float]:
+    """Orders by priority; then what can be in time, what is late, what is too late.
+
+    Among equals the job with the least work left comes first: when not all fits,
+    that brings the most jobs to their end in time.
+    """
     job = run.job
-    return job.queue.priority, job.deadline < now, job.deadline
+    if job.feasible(run.step, now):
+        lateness = 0
+    else:
+        lateness = 1 if now < job.expires_at else 2
+    return job.queue.priority, lateness, job.remaining_work
 
 
 def _used(workers: list[WorkerView]) -> float:
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -87,7 +87,7 @@
         """Records that a task is done, and what may start because of it."""
         run = task.run_of
         job = run.job
-        run.finish(task)
+        job.finish(task)
         if run.done:
             self._offer(job.refresh_ready(run.occurrence))
             job.close_occurrence(run.occurrence)
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -1,16 +1,23 @@
 """A job that was accepted and has not come to its end."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from datetime import timedelta
+from typing import Final
 
 from chiveworks.base import JobId
 from chiveworks.workflow._job_spec import Submission
 from chiveworks.workflow._queue_policy import QueuePolicy
 from chiveworks.workflow._step_run import StepRun
+from chiveworks.workflow._step_spec import StepSpec
 from chiveworks.workflow._task import Task
 
 
+#: Multiple of the allowed time up to which a late end is worth something (the
+#: platform's rule on credit).
+LATE_FACTOR: Final = 3
+
+
 class JobState(str, enum.Enum):
     """What clients are told about a job."""
 
@@ -38,6 +45,8 @@
         version: Number of the latest change of the progress.
         durable_version: Number of the latest change that the store holds.
         deadline: When the job should be done, by its declared durations.
+        expires_at: When even a late end is worth nothing any more.
+        remaining_work: Declared core-seconds of the tasks that are not done.
         started: Whether any task has ever been claimed.
     """
 
@@ -50,7 +59,26 @@
         self.version = 0
         self.durable_version = 0
         self.started = False
-        self.deadline = seen_at + _objective(submission)
+        chains = _chains(submission.spec.steps)
+        queue = submission.queue
+        allowed = queue.stretch * max(chains) + queue.latency_objective
+        self.deadline = seen_at + allowed
+        self.expires_at = seen_at + LATE_FACTOR * allowed
+        self.remaining_work = sum(
+            step.count * _work(step) for step in submission.spec.steps
+        )
+        self._chains = chains
+
+    def feasible(self, step: int, now: timedelta) -> bool:
+        """Whether the job can meet its deadline if a step starts now."""
+        return now + self._chains[step] <= self.deadline
+
+    def finish(self, task: Task) -> None:
+        """Records that a task is done, and a gang with it."""
+        run = task.run_of
+        before = run.done_count
+        run.finish(task)
+        self.remaining_work -= (run.done_count - before) * _work(run.spec)
 
     @property
     def job_id(self) -> JobId:
@@ -119,11 +147,16 @@
         return [task for task in self.tasks() if task.active]
 
 
-def _objective(submission: Submission) -> timedelta:
-    """Returns the time that a job may take, by the longest chain of its steps."""
-    chains: list[timedelta] = []
-    for step in submission.spec.steps:
-        before = max((chains[earlier] for earlier in step.after), default=timedelta())
-        chains.append(before + step.estimate)
-    queue = submission.queue
-    return queue.stretch * max(chains, default=timedelta()) + queue.latency_objective
+def _chains(steps: Sequence[StepSpec]) -> list[timedelta]:
+    """Returns for each step the longest declared time from its start to the end."""
+    chains = [step.estimate for step in steps]
+    for later in reversed(range(len(steps))):
+        for earlier in steps[later].after:
+            through = steps[earlier].estimate + chains[later]
+            chains[earlier] = max(chains[earlier], through)
+    return chains
+
+
+def _work(step: StepSpec) -> float:
+    """Returns the declared core-seconds of one task of a step."""
+    return step.demand.cpu_millicores / 1000 * step.estimate.total_seconds()
