Pause a suspect while a target is missed; let the limit of store calls follow their time

Cause: with no cause known the guard waited 1.2 s; a lost answer of the store was noticed after 800 ms only, and clients waited up to 1.8 s for an answer of unknown outcome.

--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -99,8 +99,12 @@
         working.sort(key=lambda task: -losses[task])
         missing = AIMED_HEADROOM - _headroom(worst)
         escalated = self._escalated(worker)
-        for task in working:
-            if not escalated and (missing <= 0 or losses[task] < NOTABLE_LOSS):
+        # While a target is missed the likeliest cause is paused even if little is
+        # known of it, which also shows whether it was the cause.
+        suspects = int(_headroom(worst) < 1)
+        for position, task in enumerate(working):
+            known = missing > 0 and losses[task] >= NOTABLE_LOSS
+            if not (escalated or known or position < suspects):
                 break
             missing -= losses[task]
             self._set_pace(worker, task, 0)
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -28,7 +28,7 @@
 
 #: Time after which a write without an answer is reported as unknown. Clients wait
 #: 3 s and repeat the request, which is then resolved by its id.
-RESOLVE_LIMIT: Final = timedelta(milliseconds=1800)
+RESOLVE_LIMIT: Final = timedelta(milliseconds=1000)
 #: Pause before an unanswered write is sent again.
 RETRY_PAUSE: Final = timedelta(milliseconds=40)
 #: Age up to which published counts are given out; the platform allows 2 s, and
--- a/chiveworks/platform/_metadata_client.py
+++ b/chiveworks/platform/_metadata_client.py
@@ -1,5 +1,6 @@
 """The platform's metadata store over HTTP."""
 
+import asyncio
 import base64
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -18,8 +19,12 @@
 )
 from chiveworks.platform._channel import Channel, Reply
 
-#: Limit of a call: the store answers in 4 ms, and in 240 ms when it is slow.
+#: Bounds of the limit of a call: the store answers in 4 ms, and in 240 ms when it
+#: is slow. An answer that was lost is noticed after the lower one.
+LEAST_LIMIT: Final = timedelta(milliseconds=120)
 CALL_LIMIT: Final = timedelta(milliseconds=800)
+#: Limit of a call in multiples of the time that recent calls took.
+LIMIT_FACTOR: Final = 4
 #: Answers of a watch may be late by as much as those of other calls.
 WATCH_MARGIN: Final = timedelta(milliseconds=700)
 
@@ -42,6 +47,7 @@
     def __init__(self, address: str) -> None:
         self._calls = Channel(address, CALL_LIMIT)
         self._watches = Channel(address, CALL_LIMIT)
+        self._limit = CALL_LIMIT
 
     async def read(
         self, key: str, *, stale: bool = False
@@ -111,9 +117,7 @@
             'writes': [_encode_write(change, key) for key in change.writes],
             'remove': list(change.removals),
         }
-        answer = await self._calls.call(
-            'POST', '/v1/kv-txn', Step.STORE_WRITE, body=body
-        )
+        answer = await self._timed('POST', '/v1/kv-txn', Step.STORE_WRITE, body=body)
         if isinstance(answer, Err):
             return answer
         status, reply = answer.ok_value
@@ -157,10 +161,40 @@
         await self._watches.close()
 
     async def _read(self, path: str, query: dict[str, str]) -> Result[Reply, Failure]:
-        return await self._calls.call(
+        return await self._timed(
             'GET', path, Step.STORE_READ, query=query, writes=False
         )
 
+    async def _timed(
+        self,
+        method: str,
+        path: str,
+        step: Step,
+        *,
+        query: dict[str, str] | None = None,
+        body: object = None,
+        writes: bool = True,
+    ) -> Result[Reply, Failure]:
+        """Sends a call whose limit follows the time that recent calls took."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = await self._calls.call(
+            method,
+            path,
+            step,
+            query=query,
+            body=body,
+            timeout=self._limit,
+            writes=writes,
+        )
+        if isinstance(answer, Err):
+            self._limit = min(2 * self._limit, CALL_LIMIT)
+        else:
+            took = LIMIT_FACTOR * timedelta(seconds=loop.time() - started_at)
+            lowered = self._limit + (took - self._limit) / LIMIT_FACTOR
+            self._limit = min(max(took, lowered, LEAST_LIMIT), CALL_LIMIT)
+        return answer
+
 
 def _decode(
     status: int, body: Any, decoder: Callable[[Any], _Decoded]
