--- a/chiveworks/dispatch/__init__.py
+++ b/chiveworks/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Dispatch of tasks to workers by the process that leads."""
 
+from chiveworks.dispatch._advice import Advice, Advisor
 from chiveworks.dispatch._bounds import SchedulingBounds
 from chiveworks.dispatch._leader import Leader
 from chiveworks.dispatch._scheduler import Scheduler
@@ -15,6 +16,8 @@
 from chiveworks.dispatch._worker_info import WorkerInfo
 
 __all__ = (
+    'Advice',
+    'Advisor',
     'EndKind',
     'EndRow',
     'Leader',
--- /dev/null
+++ b/chiveworks/dispatch/_advice.py
@@ -0,0 +1,138 @@
+"""Permissions of an external policy that decides which workers may run a step."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Final, Protocol
+
+from result import Err, Result
+
+from chiveworks.base import Clock, Failure, JobId, WorkerId
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import StepRun, Task
+
+#: Workers named in one call: each costs time, and the platform's rule on credit
+#: counts one call on 30 workers a step.
+WORKERS_PER_CALL: Final = 30
+#: Time before the end of its validity at which a ticket is no longer used: the
+#: claim is written and the start is sent in between.
+USE_MARGIN: Final = timedelta(milliseconds=300)
+#: Pause after a call that failed or was refused.
+RETRY_PAUSE: Final = timedelta(milliseconds=100)
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Answer of the policy.
+
+    Attributes:
+        tickets: Ticket by worker, for the workers that may run the step.
+        valid: How long the tickets may be used.
+    """
+
+    tickets: Mapping[WorkerId, str]
+    valid: timedelta
+
+
+class Advisor(Protocol):
+    """The service that knows the policy; it takes one call at a time."""
+
+    async def advise(
+        self, job_id: JobId, occurrence: int, step: int, workers: Sequence[WorkerId]
+    ) -> Result[Advice, Failure]:
+        """Asks which of the workers may run a step."""
+
+
+@dataclass(slots=True)
+class _Known:
+    """What is known for one step run."""
+
+    asked: set[WorkerId] = field(default_factory=set)
+    tickets: dict[WorkerId, tuple[str, timedelta]] = field(default_factory=dict)
+    waiting: bool = False
+
+
+class AdviceDesk:
+    """Asks for steps one after the other and keeps the tickets.
+
+    Args:
+        clock: Source of time.
+        log: Where answers are written.
+        advisor: The service to ask.
+    """
+
+    def __init__(self, clock: Clock, log: EventLog, advisor: Advisor) -> None:
+        self._clock = clock
+        self._log = log
+        self._advisor = advisor
+        self._known: dict[StepRun, _Known] = {}
+        self._questions: asyncio.Queue[tuple[StepRun, list[WorkerId]]] = asyncio.Queue()
+
+    def allowed(self, run: StepRun, workers: list[WorkerView]) -> list[WorkerView]:
+        """Returns the workers with a valid ticket; asks about others if none has."""
+        known = self._known.setdefault(run, _Known())
+        now = self._clock.monotonic()
+        holders = [
+            worker
+            for worker in workers
+            if worker.worker_id in known.tickets
+            and now < known.tickets[worker.worker_id][1]
+        ]
+        if not holders and not known.waiting:
+            self._ask(run, known, workers)
+        return holders
+
+    def ticket(self, task: Task) -> str:
+        """Returns the ticket for a claimed task; empty when there is none."""
+        known = self._known.get(task.run_of)
+        if known is None or task.worker is None:
+            return ''
+        return known.tickets.get(task.worker, ('', timedelta()))[0]
+
+    def forget(self, run: StepRun) -> None:
+        """Drops the tickets of a step, which are asked for anew when needed."""
+        self._known.pop(run, None)
+
+    async def run(self) -> None:
+        """Asks until cancelled."""
+        while True:
+            run, workers = await self._questions.get()
+            answer = await self._advisor.advise(
+                run.job.job_id, run.occurrence, run.step, workers
+            )
+            known = self._known.get(run)
+            if isinstance(answer, Err):
+                self._log.write('advice_failed', reason=str(answer.err_value))
+                await self._clock.sleep(RETRY_PAUSE)
+            elif known is not None:
+                self._take(run, known, workers, answer.ok_value)
+            if known is not None:
+                known.waiting = False
+
+    def _ask(self, run: StepRun, known: _Known, workers: list[WorkerView]) -> None:
+        names = [worker.worker_id for worker in workers]
+        fresh = [name for name in names if name not in known.asked]
+        if not fresh:
+            # The answer for a worker does not change, but its ticket runs out.
+            known.asked.clear()
+            fresh = names
+        if fresh:
+            known.waiting = True
+            self._questions.put_nowait((run, fresh[:WORKERS_PER_CALL]))
+
+    def _take(
+        self, run: StepRun, known: _Known, workers: list[WorkerId], advice: Advice
+    ) -> None:
+        expires_at = self._clock.monotonic() + advice.valid - USE_MARGIN
+        known.asked.update(workers)
+        for worker, ticket in advice.tickets.items():
+            known.tickets[worker] = (ticket, expires_at)
+        self._log.write(
+            'advice_taken',
+            job=run.job.job_id,
+            step=run.step,
+            asked=len(workers),
+            allowed=len(advice.tickets),
+        )
--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from chiveworks.base import Clock, Resources
+from chiveworks.dispatch._advice import AdviceDesk
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._worker_view import WorkerView
@@ -23,6 +24,7 @@
         table: Jobs.
         placer: Picks workers.
         service_of: Returns the service that now runs a job's tasks.
+        desk: Permissions for queues with an external policy.
     """
 
     def __init__(
@@ -32,12 +34,14 @@
         table: JobTable,
         placer: Placer,
         service_of: Callable[[Job], str],
+        desk: AdviceDesk,
     ) -> None:
         self._clock = clock
         self._log = log
         self._table = table
         self._placer = placer
         self._service_of = service_of
+        self._desk = desk
 
     def assign(self) -> list[Task]:
         """Claims workers for all waiting tasks that fit; returns the tasks."""
@@ -67,13 +71,9 @@
         if run.spec.gang:
             run.share_checkpoint()
         candidates = self._placer.candidates(run, service)
-        claimed: list[Task] = []
-        for group in self._groups(run, candidates):
-            claimed = self._claim_all(waiting, group, whole=run.spec.gang)
-            if len(claimed) == len(waiting):
-                break
-            if run.spec.tightly_coupled and group is not candidates:
-                self._unclaim(claimed)
+        if run.job.queue.advised:
+            candidates = self._desk.allowed(run, candidates)
+        claimed = self._claim_in_groups(run, waiting, candidates)
         if len(claimed) == len(waiting):
             self._table.ready.pop(run, None)
         elif _plain(run):
@@ -82,6 +82,16 @@
             self._log_claim(task)
         return claimed
 
+    def _claim_in_groups(
+        self, run: StepRun, waiting: list[Task], candidates: list[WorkerView]
+    ) -> list[Task]:
+        for group in self._groups(run, candidates):
+            whole = run.spec.gang or group is not candidates
+            claimed = self._claim_all(waiting, group, whole=whole)
+            if claimed:
+                return claimed
+        return []
+
     def _groups(
         self, run: StepRun, candidates: list[WorkerView]
     ) -> list[list[WorkerView]]:
@@ -118,6 +128,7 @@
             task=task.ref[1:],
             attempt=task.attempt,
             worker=task.worker,
+            queue=job.queue.name,
             waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
             free_millicores=worker
             and worker.info.capacity.cpu_millicores - worker.room.cpu_millicores,
@@ -158,7 +169,8 @@
 def _plain(run: StepRun) -> bool:
     """Whether only room decides where tasks of the step may run."""
     spec = run.spec
-    return not (spec.required_label or spec.worker_limit or spec.gang)
+    advised = run.job.queue.advised
+    return not (spec.required_label or spec.worker_limit or spec.gang or advised)
 
 
 def _hopeless(run: StepRun, full: list[tuple[bool, Resources]]) -> bool:
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -70,7 +70,10 @@
     def fail(self, job: Job, task: Task) -> None:
         """Ends a job whose task has failed too often."""
         self._log.write(
-            'job_failed', job=job.job_id, task=task.ref[1:], failures=task.failures
+            'job_failed',
+            task=task.ref[1:],
+            failures=task.failures,
+            **self._facts(job),
         )
         self._end(job, JobState.FAILED)
 
@@ -92,7 +95,7 @@
             self._offer(job.refresh_ready(run.occurrence))
             job.close_occurrence(run.occurrence)
         if job.completed and not job.state.terminal:
-            self._log.write('job_completed', job=job.job_id)
+            self._log.write('job_completed', **self._facts(job))
             self._end(job, JobState.COMPLETED)
         else:
             self._writer.mark(job)
@@ -123,6 +126,13 @@
         """Drops a job whose end is durable and of which nothing runs."""
         self.jobs.pop(job.job_id, None)
 
+    def waiting(self) -> Counter[str]:
+        """Returns the number of tasks that wait for a worker, by queue."""
+        lengths: Counter[str] = Counter()
+        for run in self.ready:
+            lengths[run.job.queue.name] += len(run.waiting())
+        return lengths
+
     def pending(self) -> Counter[str]:
         """Returns the number of jobs without a started task, by queue."""
         return Counter(
@@ -148,6 +158,15 @@
         else:
             heapq.heappush(self._due, (recurrence.due(number), job.job_id, number))
 
+    def _facts(self, job: Job) -> dict[str, object]:
+        duration = self._clock.monotonic() - job.seen_at
+        return {
+            'job': job.job_id,
+            'queue': job.queue.name,
+            'duration_ms': duration // timedelta(milliseconds=1),
+            'late': self._clock.monotonic() > job.deadline,
+        }
+
     def _end(self, job: Job, state: JobState) -> None:
         job.state = state
         self._writer.mark(job)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from chiveworks.base import Clock, JobId, ZoneName
+from chiveworks.dispatch._advice import AdviceDesk, Advisor
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
 from chiveworks.dispatch._drainer import Drainer
@@ -22,7 +23,7 @@
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._run_tracker import RunTracker
-from chiveworks.dispatch._worker_control import WorkerControl
+from chiveworks.dispatch._worker_control import OrderOutcome, WorkerControl
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
@@ -57,6 +58,7 @@
         connect: Returns the calls of a worker.
         service_of: Returns the service that now runs a queue's tasks.
         evacuated: Tells whether nothing may start in a zone.
+        advisor: External policy for the queues that have one.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         connect: Callable[[WorkerInfo], WorkerControl],
         service_of: Callable[[Job], str],
         evacuated: Callable[[ZoneName], bool],
+        advisor: Advisor,
     ) -> None:
         self._term = term
         self._clock = clock
@@ -100,7 +103,10 @@
         )
         self.model = PressureModel()
         placer = Placer(clock, self.fleet.workers, evacuated, self.model)
-        self._assigner = Assigner(clock, log, self.table, placer, service_of)
+        self._desk = AdviceDesk(clock, log, advisor)
+        self._assigner = Assigner(
+            clock, log, self.table, placer, service_of, self._desk
+        )
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
@@ -108,6 +114,7 @@
         """Schedules until the term is lost."""
         writer = self._spawn(self._write())
         ticker = self._spawn(self._tick())
+        advice = self._spawn(self._desk.run())
         try:
             while self._term.valid:
                 await self._wake.wait()
@@ -118,6 +125,7 @@
             await self._stop_children()
         writer.cancel()
         ticker.cancel()
+        advice.cancel()
 
     def accept(self, submission: Submission, progress: bytes | None = None) -> None:
         """Takes a job in, or the cancelling of one that is known."""
@@ -165,7 +173,7 @@
             if task.state is not TaskState.CLAIMED or task.sent:
                 continue
             if task.claim_version <= job.durable_version:
-                self.orders.start(task)
+                self.orders.start(task, self._desk.ticket(task))
             else:
                 self._unsent.setdefault(job.job_id, []).append(task)
         if job.state.terminal and job.version == job.durable_version:
@@ -175,6 +183,8 @@
 
     def _on_released(self, worker: WorkerView, task: Task, reason: str) -> None:
         self.tracker.release(worker, task, reason)
+        if reason == OrderOutcome.NO_TICKET.value:
+            self._desk.forget(task.run_of)
         if task.spec.gang:
             # The others would wait for this member in vain.
             for member in task.run_of.tasks:
--- a/chiveworks/dispatch/_trend.py
+++ b/chiveworks/dispatch/_trend.py
@@ -19,8 +19,8 @@
 
     def __init__(self) -> None:
         self._at: timedelta | None = None
-        self._fast = 0.0
-        self._slow = 0.0
+        self._fast: float = 0
+        self._slow: float = 0
 
     def update(self, figure: float, now: timedelta) -> float:
         """Takes a figure; returns the lowest one expected until `AHEAD` from now."""
--- a/chiveworks/dispatch/tests/site.py
+++ b/chiveworks/dispatch/tests/site.py
@@ -3,6 +3,8 @@
 import asyncio
 from datetime import timedelta
 
+from result import Ok
+
 from chiveworks.base import (
     EntryId,
     JobId,
@@ -11,7 +13,7 @@
     WorkerId,
     ZoneName,
 )
-from chiveworks.dispatch import Leader, Scheduler, SchedulingBounds, WorkerInfo
+from chiveworks.dispatch import Advice, Leader, Scheduler, SchedulingBounds, WorkerInfo
 from chiveworks.events import EventLog
 from chiveworks.intake import JobIntake
 from chiveworks.metastore import Election, Replica
@@ -40,6 +42,19 @@
         return [fields for name, fields in self.events if name == event]
 
 
+class TicketOffice:
+    """Allows one worker and counts the calls."""
+
+    def __init__(self):
+        self.calls = 0
+        self.allowed = 'w1'
+
+    async def advise(self, job_id, occurrence, step, workers):
+        self.calls += 1
+        tickets = {worker: 'ticket' for worker in workers if worker == self.allowed}
+        return Ok(Advice(tickets, timedelta(seconds=3)))
+
+
 class Site:
     """Workers, a store, and any number of processes that may lead."""
 
@@ -50,6 +65,7 @@
         self.runners = {}
         self.infos = {}
         self.evacuated = set()
+        self.advisor = TicketOffice()
         self.intake = JobIntake(self.store, self.clock, self.log)
         self._tasks = []
         for number in range(workers):
@@ -146,6 +162,7 @@
             lambda info: self.runners[info.address],
             lambda job: job.queue.service,
             lambda zone: zone in self.evacuated,
+            self.advisor,
         )
 
     def _follow_workers(self):
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -8,7 +8,7 @@
 from chiveworks.base import JobId, Resources
 from chiveworks.dispatch.tests.site import Site
 from chiveworks.intake import IntakeVerdict
-from chiveworks.workflow import JobState, StepSpec
+from chiveworks.workflow import JobState, QueuePolicy, StepSpec
 
 CORE = Resources(1000, 1)
 
@@ -182,6 +182,33 @@
     assert all(len(runner.running) == 1 for runner in site.runners.values())
 
 
+async def test_an_external_policy_decides_where_a_step_runs(site):
+    """Guards against starts without a ticket, and against one call for each task."""
+    await start(site)
+    queue = QueuePolicy('advised', 'pool', attempt_limit=3, advised=True)
+    await site.submit('j', StepSpec(6, CORE), queue=queue)
+    await site.wait(4)
+    assert await site.state('j') is JobState.COMPLETED
+    assert not site.runners['w0'].history
+    assert site.advisor.calls < 4
+
+
+async def test_members_of_a_gang_share_their_run_number(site):
+    """Guards against members that wait for others of another run."""
+    await start(site)
+    for runner in site.runners.values():
+        runner.fails = True
+    await site.submit('j', StepSpec(4, CORE, gang=True))
+    await site.wait(0.5)
+    attempts = {
+        entry[2]
+        for runner in site.runners.values()
+        for entry in runner.history
+        if entry[0] == 'start'
+    }
+    assert attempts == {1}
+
+
 async def _call(site, work):
     call = site.spawn(work)
     await site.wait(0.1)
--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -4,6 +4,7 @@
 import os
 import select
 from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Final
 
@@ -36,6 +37,11 @@
         self._window_at = timedelta()
         self._written: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
+        self._observers: list[Callable[[str, dict[str, object]], None]] = []
+
+    def subscribe(self, observer: Callable[[str, dict[str, object]], None]) -> None:
+        """Calls `observer` with every event, also with those that are dropped."""
+        self._observers.append(observer)
 
     def open(self) -> None:
         """Makes the descriptor non-blocking; call once before the first line."""
@@ -43,6 +49,8 @@
 
     def write(self, event: str, **fields: object) -> None:
         """Writes one event with its fields, or counts it as dropped."""
+        for observer in self._observers:
+            observer(event, fields)
         now = self._clock.monotonic()
         if now - self._window_at >= _SECOND:
             self._start_window(now)
--- /dev/null
+++ b/chiveworks/platform/_advice_client.py
@@ -0,0 +1,48 @@
+"""The platform's placement advice over HTTP."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Final
+
+from result import Err, Ok, Result
+
+from chiveworks.base import Failure, JobId, Step, WorkerId
+from chiveworks.dispatch import Advice
+from chiveworks.platform._channel import Channel
+
+#: Limit of a call, which takes time for each worker that it names.
+CALL_LIMIT: Final = timedelta(seconds=3)
+
+
+class HttpAdvisor:
+    """Asks the service at one address.
+
+    Args:
+        address: Host and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._channel = Channel(address, CALL_LIMIT)
+
+    async def advise(
+        self, job_id: JobId, occurrence: int, step: int, workers: Sequence[WorkerId]
+    ) -> Result[Advice, Failure]:
+        """Asks which workers may run a step."""
+        body = {'step': f'{job_id}.{occurrence}.{step}', 'workers': list(workers)}
+        answer = await self._channel.call(
+            'POST', '/v1/advise', Step.RESOLVE, body=body, writes=False
+        )
+        if isinstance(answer, Err):
+            return answer
+        status, reply = answer.ok_value
+        try:
+            tickets = {WorkerId(row[0]): str(row[1]) for row in reply['allowed']}
+            valid = timedelta(milliseconds=reply['valid_ms'])
+        except (LookupError, TypeError) as error:
+            message = f'status {status}, unusable advice: {error!r}'
+            return Err(Failure.not_run(Step.RESOLVE, 'placement advice', message))
+        return Ok(Advice(tickets, valid))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._channel.close()
--- a/chiveworks/platform/_metadata_client.py
+++ b/chiveworks/platform/_metadata_client.py
@@ -42,12 +42,16 @@
 
     Args:
         address: Host and port.
+        observe: Called with path, duration and success of each timed call.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, observe: Callable[[str, timedelta, bool], None]
+    ) -> None:
         self._calls = Channel(address, CALL_LIMIT)
         self._watches = Channel(address, CALL_LIMIT)
         self._limit = CALL_LIMIT
+        self._observe = observe
 
     async def read(
         self, key: str, *, stale: bool = False
@@ -187,10 +191,12 @@
             timeout=self._limit,
             writes=writes,
         )
+        duration = timedelta(seconds=loop.time() - started_at)
+        self._observe(path, duration, not isinstance(answer, Err))
         if isinstance(answer, Err):
             self._limit = min(2 * self._limit, CALL_LIMIT)
         else:
-            took = LIMIT_FACTOR * timedelta(seconds=loop.time() - started_at)
+            took = LIMIT_FACTOR * duration
             lowered = self._limit + (took - self._limit) / LIMIT_FACTOR
             self._limit = min(max(took, lowered, LEAST_LIMIT), CALL_LIMIT)
         return answer
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -14,6 +14,7 @@
 from chiveworks.events import EventLog
 from chiveworks.intake import JobIntake, QueueCatalogue
 from chiveworks.metastore import Election, Replica, Term
+from chiveworks.platform._advice_client import HttpAdvisor
 from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
 from chiveworks.platform._decoding import (
     CONFIG_NAME,
@@ -24,8 +25,11 @@
 from chiveworks.platform._front import ClientFront
 from chiveworks.platform._metadata_client import HttpMetadataStore
 from chiveworks.platform._worker_client import HttpWorker
+from chiveworks.telemetry import EventMeter
 from chiveworks.workflow import Job
 
+#: Port of the metrics; the deploy file names it too.
+METRICS_PORT: Final = 9464
 #: Longest wait of a machine with one core before it contends for leadership;
 #: smaller machines wait longer.
 HANDICAP: Final = timedelta(milliseconds=40)
@@ -50,7 +54,10 @@
         self._clock = SystemClock()
         fields = {'process': settings.process, 'zone': settings.zone}
         self._log = EventLog(self._clock, fields)
-        self._store = HttpMetadataStore(settings.store)
+        self._meter = EventMeter(settings.process, settings.zone, self._queue_lengths)
+        self._log.subscribe(self._meter.observe)
+        self._store = HttpMetadataStore(settings.store, self._observe_store)
+        self._advisor = HttpAdvisor(settings.advice)
         self._catalogue: QueueCatalogue | None = None
         self._operators: Replica[QueueCatalogue | str] = Replica(
             self._store, 'op/', decode_operator_entry, self._clock, self._log
@@ -79,6 +86,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._store.close)
+            stack.push_async_callback(self._advisor.close)
             followers = [
                 asyncio.create_task(self._operators.run()),
                 asyncio.create_task(self._election.leader.run()),
@@ -96,6 +104,7 @@
         for handler, address in (
             (front.handle, self._settings.front),
             (self._answer_ready, self._settings.ready),
+            (self._answer_metrics, (self._settings.front[0], METRICS_PORT)),
         ):
             runner = web.ServerRunner(web.Server(handler, access_log=None))
             await runner.setup()
@@ -126,6 +135,16 @@
         )
         return web.Response(status=200 if ready else 503)
 
+    async def _answer_metrics(self, _request: web.BaseRequest) -> web.Response:
+        return web.Response(body=self._meter.render(), content_type='text/plain')
+
+    def _observe_store(self, path: str, duration: timedelta, answered: bool) -> None:
+        self._meter.record_store_call(path, duration, succeeded=answered)
+
+    def _queue_lengths(self) -> dict[str, int]:
+        scheduler = self._leader.scheduler
+        return {} if scheduler is None else scheduler.table.waiting()
+
     def _on_operator_entry(self, name: str, entry: QueueCatalogue | str | None) -> None:
         if name != CONFIG_NAME:
             self._log.write('operator_request', name=name, present=entry is not None)
@@ -146,6 +165,7 @@
             HttpWorker,
             self._service_of,
             self._evacuated,
+            self._advisor,
         )
 
     def _follow_workers(self) -> Replica[WorkerInfo]:
