Keep the meter with the events: the deploy file does not install the JSON formatter

Cause: the platform process imported the telemetry package, whose formatter is not among the deploy file's packages, and no process started.

--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -11,7 +11,7 @@
 
 from chiveworks.base import SystemClock, ZoneName
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
-from chiveworks.events import EventLog
+from chiveworks.events import EventLog, EventMeter
 from chiveworks.intake import JobIntake, QueueCatalogue
 from chiveworks.metastore import Election, Replica, Term
 from chiveworks.platform._advice_client import HttpAdvisor
@@ -25,7 +25,6 @@
 from chiveworks.platform._front import ClientFront
 from chiveworks.platform._metadata_client import HttpMetadataStore
 from chiveworks.platform._worker_client import HttpWorker
-from chiveworks.telemetry import EventMeter
 from chiveworks.workflow import Job
 
 #: Port of the metrics; the deploy file names it too.
--- a/chiveworks/telemetry/__init__.py
+++ b/chiveworks/telemetry/__init__.py
@@ -1,13 +1,11 @@
 """JSON logs and measurements."""
 
-from chiveworks.telemetry._event_meter import EventMeter
 from chiveworks.telemetry._log_context import LogFields, log_fields
 from chiveworks.telemetry._logging import setup_logging
 from chiveworks.telemetry._metrics import METRICS_CONTENT_TYPE, Metrics
 
 __all__ = (
     'METRICS_CONTENT_TYPE',
-    'EventMeter',
     'LogFields',
     'Metrics',
     'log_fields',
