--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -1,6 +1,7 @@
 """Takes jobs in, cancels them and tells their state, through the store alone."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from typing import Final
@@ -47,6 +48,10 @@
     NOT_FOUND = 'not_found'
 
 
+def _always() -> bool:
+    return True
+
+
 class JobIntake:
     """Requests of clients, each answered from the store.
 
@@ -54,12 +59,20 @@
         store: Where jobs are kept.
         clock: Source of time.
         log: Where decisions are written.
+        available: Tells whether the store is likely to answer.
     """
 
-    def __init__(self, store: MetadataStore, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        store: MetadataStore,
+        clock: Clock,
+        log: EventLog,
+        available: Callable[[], bool] = _always,
+    ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
+        self._available = available
         self._counts: dict[str, int] = {}
         self._counted_at: timedelta | None = None
 
@@ -69,7 +82,10 @@
         change = Change(
             expected={key: Revision(0)}, writes={key: encode_submission(submission)}
         )
-        verdict = await self._write(change)
+        if self._available():
+            verdict = await self._write(change)
+        else:
+            verdict = IntakeVerdict.REFUSED
         self._log.write(
             'job_submitted',
             job=submission.job_id,
@@ -81,8 +97,8 @@
     async def cancel(self, job_id: JobId) -> IntakeVerdict:
         """Stores that a job is cancelled."""
         deadline = self._clock.monotonic() + RESOLVE_LIMIT
-        verdict = IntakeVerdict.UNKNOWN
-        while self._clock.monotonic() < deadline:
+        verdict = IntakeVerdict.REFUSED
+        while self._available() and self._clock.monotonic() < deadline:
             verdict = await self._try_cancel(job_id)
             if verdict in {IntakeVerdict.ACCEPTED, IntakeVerdict.NOT_FOUND}:
                 break
--- a/chiveworks/intake/tests/test_intake.py
+++ b/chiveworks/intake/tests/test_intake.py
@@ -47,6 +47,17 @@
     assert not desk.store.items
 
 
+async def test_clients_are_refused_at_once_while_the_store_is_away(desk):
+    """Guards against clients that are held until their time is over."""
+    log = EventLog(desk.clock, {})
+    log.write = lambda event, **fields: None
+    intake = JobIntake(desk.store, desk.clock, log, lambda: False)
+    call = asyncio.create_task(intake.submit(SUBMISSION))
+    await desk.clock.advance(timedelta())
+    assert call.result() is IntakeVerdict.REFUSED
+    assert not desk.store.items
+
+
 async def test_an_unanswered_write_is_resolved_by_sending_it_again(desk):
     """Guards against a job that is stored and reported as unknown."""
     desk.store.faults.lose_answers = 1
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -22,6 +22,8 @@
 #: Lifetime of the leader's lease without renewal: a pause in scheduling after a
 #: kill is at most this long, while four renewals in a row may fail.
 LEADER_TTL: Final = timedelta(milliseconds=1400)
+#: Pause after contending in vain, for example while the store is away.
+RETRY_PAUSE: Final = timedelta(milliseconds=60)
 #: How often a vacancy is looked for.
 _POLL: Final = timedelta(milliseconds=25)
 _HOLDER: Final = LEADER_KEY.removeprefix(LEADER_PREFIX)
@@ -53,6 +55,7 @@
         self._handicap = handicap
         self._changed = asyncio.Event()
         self._barred_until = timedelta()
+        self._past_mark = ''
         self.leader: Replica[str] = Replica(
             store, LEADER_PREFIX, _decode_leader, clock, log
         )
@@ -60,8 +63,12 @@
 
     @property
     def vacant(self) -> bool:
-        """Whether the store is known to name no leader."""
-        return self.leader.synced and not self.leader.entries
+        """Whether the store is known to name no leader, or a past term of ours.
+
+        A lease may outlast an outage of the store in which our term ended.
+        """
+        named = self.leader.entries.get(_HOLDER)
+        return self.leader.synced and (named is None or named == self._past_mark)
 
     def stand_aside(self, duration: timedelta) -> None:
         """Keeps this process from contending for a while."""
@@ -76,6 +83,7 @@
                 term = await self._contend()
                 if term is not None:
                     return term
+            await self._clock.sleep(RETRY_PAUSE)
 
     async def watch_term(self, term: Term) -> None:
         """Ends the term when the store names another leader or none.
@@ -102,14 +110,21 @@
 
     async def _contend(self) -> Term | None:
         sequence = await self._store.read(SEQUENCE_KEY)
-        if isinstance(sequence, Err):
+        holder = await self._store.read(LEADER_KEY)
+        if isinstance(sequence, Err) or isinstance(holder, Err):
+            return None
+        if holder.ok_value.content not in {None, self._past_mark.encode()}:
             return None
         started_at = self._clock.monotonic()
         granted = await self._store.grant_lease(LEADER_TTL)
         if isinstance(granted, Err):
             return None
         mark = f'{self._process} {secrets.token_hex(8)}'
-        revision = await self._take(mark, granted.ok_value, sequence.ok_value.revision)
+        expected = {
+            LEADER_KEY: holder.ok_value.revision,
+            SEQUENCE_KEY: sequence.ok_value.revision,
+        }
+        revision = await self._take(mark, granted.ok_value, expected)
         if revision is None:
             await self._store.end_lease(granted.ok_value)
             return None
@@ -123,15 +138,16 @@
             LEADER_TTL,
             started_at,
         )
+        self._past_mark = mark
         self._log.write('leadership_gained', token=revision, process=self._process)
         return term
 
     async def _take(
-        self, mark: str, lease: StoreLeaseId, sequence: Revision
+        self, mark: str, lease: StoreLeaseId, expected: dict[str, Revision]
     ) -> Revision | None:
         content = mark.encode()
         change = Change(
-            expected={LEADER_KEY: Revision(0), SEQUENCE_KEY: sequence},
+            expected=expected,
             writes={LEADER_KEY: content, SEQUENCE_KEY: content},
             lease=lease,
             leased=frozenset((LEADER_KEY,)),
--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -96,7 +96,9 @@
 
     async def _watch(self) -> bool:
         after = self._after or Revision(0)
-        answer = await self._store.watch(self._prefix, after, self._wait)
+        # After a failure the answer shows that the store is back: it may not wait.
+        wait = timedelta() if self._failing else self._wait
+        answer = await self._store.watch(self._prefix, after, wait)
         if isinstance(answer, Err):
             return False
         batch = answer.ok_value
--- a/chiveworks/metastore/tests/test_term.py
+++ b/chiveworks/metastore/tests/test_term.py
@@ -121,6 +121,20 @@
     assert term.lost.is_set()
 
 
+async def test_a_leader_resumes_after_an_outage_that_its_lease_outlasts(site):
+    """Guards against a wait for a lease of our own that the store has kept."""
+    election = site.election('a')
+    campaign = site.run(election.campaign())
+    await site.clock.advance(SECOND / 2)
+    first = campaign.result()
+    first.end('not renewed in time')
+    again = site.run(election.campaign())
+    await site.clock.advance(SECOND / 4)
+    assert again.result().token > first.token
+    with pytest.raises(TermLostError):
+        await first.write({'k': b'x'})
+
+
 async def test_an_election_resolves_an_unanswered_acquisition(site):
     """Guards against a lost answer that leaves the leader key without a leader."""
     site.store.faults.lose_answers = 1
--- a/chiveworks/platform/_metadata_client.py
+++ b/chiveworks/platform/_metadata_client.py
@@ -23,6 +23,9 @@
 #: is slow. An answer that was lost is noticed after the lower one.
 LEAST_LIMIT: Final = timedelta(milliseconds=120)
 CALL_LIMIT: Final = timedelta(milliseconds=800)
+#: Failed calls in a row after which clients are refused without a call. The
+#: watches go on trying and show when the store is back.
+FAILURES_UNAVAILABLE: Final = 3
 #: Limit of a call in multiples of the time that recent calls took.
 LIMIT_FACTOR: Final = 4
 #: Answers of a watch may be late by as much as those of other calls.
@@ -52,6 +55,12 @@
         self._watches = Channel(address, CALL_LIMIT)
         self._limit = CALL_LIMIT
         self._observe = observe
+        self._failures = 0
+
+    @property
+    def available(self) -> bool:
+        """Whether a call is likely to be answered."""
+        return self._failures < FAILURES_UNAVAILABLE
 
     async def read(
         self, key: str, *, stale: bool = False
@@ -104,6 +113,7 @@
             timeout=wait + WATCH_MARGIN,
             writes=False,
         )
+        self._count(answered=not isinstance(answer, Err))
         if isinstance(answer, Err):
             return answer
         status, body = answer.ok_value
@@ -193,6 +203,7 @@
         )
         duration = timedelta(seconds=loop.time() - started_at)
         self._observe(path, duration, not isinstance(answer, Err))
+        self._count(answered=not isinstance(answer, Err))
         if isinstance(answer, Err):
             self._limit = min(2 * self._limit, CALL_LIMIT)
         else:
@@ -201,6 +212,9 @@
             self._limit = min(max(took, lowered, LEAST_LIMIT), CALL_LIMIT)
         return answer
 
+    def _count(self, *, answered: bool) -> None:
+        self._failures = 0 if answered else self._failures + 1
+
 
 def _decode(
     status: int, body: Any, decoder: Callable[[Any], _Decoded]
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -98,7 +98,9 @@
         self._log.write('process_stopped')
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
-        intake = JobIntake(self._store, self._clock, self._log)
+        intake = JobIntake(
+            self._store, self._clock, self._log, lambda: self._store.available
+        )
         front = ClientFront(intake, lambda: self._catalogue, self._stopping.is_set)
         for handler, address in (
             (front.handle, self._settings.front),
