--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -7,8 +7,6 @@
 from datetime import timedelta
 from typing import Any, Final
 
-import msgpack
-
 from chiveworks.base import Clock, JobId, ZoneName
 from chiveworks.dispatch._advice import AdviceDesk, Advisor
 from chiveworks.dispatch._assigner import Assigner
@@ -35,6 +33,7 @@
     Submission,
     Task,
     TaskState,
+    encode_counts,
 )
 
 #: How often due times, ends to forget and counts are looked at.
@@ -249,8 +248,8 @@
         self._wake.set()
 
     def _publish_pending(self) -> None:
-        packed: bytes = msgpack.packb(dict(self.table.pending()))
-        self._publish(PENDING_KEY, packed)
+        counts = dict(self.table.pending())
+        self.writer.put(PENDING_KEY, encode_counts(counts, self._clock.now()))
 
     def _publish(self, key: str, packed: bytes) -> None:
         if self._published.get(key) != packed:
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -193,6 +193,18 @@
     assert site.advisor.calls < 4
 
 
+async def test_counts_of_a_leader_that_is_gone_are_not_given_out(site):
+    """Guards against a count that stands still while jobs are accepted."""
+    process = await start(site)
+    site.evacuated.add('zone')
+    await site.submit('j')
+    await site.wait(2)
+    assert await _call(site, site.intake.pending('urgent')) == 1
+    await site.kill(process)
+    await site.wait(4)
+    assert await _call(site, site.intake.pending('urgent')) is None
+
+
 async def test_members_of_a_gang_share_their_run_number(site):
     """Guards against members that wait for others of another run."""
     await start(site)
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from typing import Final
 
-import msgpack
 from result import Err
 
 from chiveworks.base import Clock, JobId, Revision, Verdict
@@ -23,6 +22,7 @@
 from chiveworks.workflow import (
     JobState,
     Submission,
+    decode_counts,
     decode_record,
     encode_submission,
 )
@@ -35,6 +35,10 @@
 #: Age up to which published counts are given out; the platform allows 2 s, and
 #: the leader publishes every 0.7 s.
 COUNT_AGE: Final = timedelta(milliseconds=500)
+#: Age of a publication, by the time of day, past which the number is not known.
+#: It allows for clocks that differ by 2 s and stays below the 5 s after which the
+#: platform's rule counts a job.
+PUBLISHED_AGE: Final = timedelta(seconds=3)
 
 
 class IntakeVerdict(enum.Enum):
@@ -131,10 +135,21 @@
             answer = await self._store.read(PENDING_KEY)
             if isinstance(answer, Err):
                 return None
-            self._counts = _decode_counts(answer.ok_value)
+            counts = self._decode_counts(answer.ok_value)
+            if counts is None:
+                return None
+            self._counts = counts
             self._counted_at = now
         return self._counts.get(queue, 0)
 
+    def _decode_counts(self, item: StoreItem) -> dict[str, int] | None:
+        if item.content is None:
+            return {}
+        counts, counted_at = decode_counts(item.content)
+        # Without a leader the counts stand still while jobs are accepted.
+        fresh = abs(self._clock.now() - counted_at) <= PUBLISHED_AGE
+        return counts if fresh else None
+
     async def _write(self, change: Change) -> IntakeVerdict:
         deadline = self._clock.monotonic() + RESOLVE_LIMIT
         sent = False
@@ -169,10 +184,3 @@
         if not isinstance(outcome, Err) and isinstance(outcome.ok_value, Committed):
             return IntakeVerdict.ACCEPTED
         return IntakeVerdict.UNKNOWN
-
-
-def _decode_counts(item: StoreItem) -> dict[str, int]:
-    if item.content is None:
-        return {}
-    counts: dict[str, int] = msgpack.unpackb(item.content)
-    return counts
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -56,6 +56,7 @@
         self._changed = asyncio.Event()
         self._barred_until = timedelta()
         self._past_mark = ''
+        self._replaced_mark = ''
         self.leader: Replica[str] = Replica(
             store, LEADER_PREFIX, _decode_leader, clock, log
         )
@@ -96,7 +97,7 @@
             named = self.leader.entries.get(_HOLDER)
             if named == term.mark:
                 seen = True
-            elif seen or named is not None:
+            elif seen or named not in {None, self._replaced_mark}:
                 term.end('the leader key has changed')
                 return
             await self._changed.wait()
@@ -138,6 +139,7 @@
             LEADER_TTL,
             started_at,
         )
+        self._replaced_mark = self._past_mark
         self._past_mark = mark
         self._log.write('leadership_gained', token=revision, process=self._process)
         return term
--- a/chiveworks/metastore/tests/test_term.py
+++ b/chiveworks/metastore/tests/test_term.py
@@ -130,7 +130,11 @@
     first.end('not renewed in time')
     again = site.run(election.campaign())
     await site.clock.advance(SECOND / 4)
-    assert again.result().token > first.token
+    resumed = again.result()
+    site.run(election.watch_term(resumed))
+    site.run(resumed.keep())
+    await site.clock.advance(SECOND)
+    assert resumed.valid and resumed.token > first.token
     with pytest.raises(TermLostError):
         await first.write({'k': b'x'})
 
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -1,7 +1,9 @@
 """Jobs that consist of steps, steps that consist of tasks, and their progress."""
 
 from chiveworks.workflow._codec import (
+    decode_counts,
     decode_record,
+    encode_counts,
     encode_end,
     encode_progress,
     encode_submission,
@@ -27,7 +29,9 @@
     'Task',
     'TaskRef',
     'TaskState',
+    'decode_counts',
     'decode_record',
+    'encode_counts',
     'encode_end',
     'encode_progress',
     'encode_submission',
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -75,6 +75,18 @@
         raise ValueError(f'the record of job {job_id} cannot be read') from error
 
 
+def encode_counts(counts: dict[str, int], counted_at: datetime) -> bytes:
+    """Returns the stored form of the numbers of waiting jobs, by queue."""
+    packed: bytes = msgpack.packb([counts, (counted_at - _EPOCH) // _MILLISECOND])
+    return packed
+
+
+def decode_counts(stored: bytes) -> tuple[dict[str, int], datetime]:
+    """Returns the numbers of waiting jobs and the time of day they are from."""
+    counts, counted_ms = msgpack.unpackb(stored)
+    return counts, _EPOCH + counted_ms * _MILLISECOND
+
+
 def encode_progress(job: Job) -> bytes:
     """Returns the progress of a job: one row for each task that was ever claimed."""
     rows = [
