--- a/chiveworks/cli/_application.py
+++ b/chiveworks/cli/_application.py
@@ -15,6 +15,7 @@
 from chiveworks.cli._catalogue_get import CatalogueGet
 from chiveworks.cli._catalogue_history import CatalogueHistory
 from chiveworks.cli._exit_code import ExitCode
+from chiveworks.cli._explain import Explain
 from chiveworks.cli._job_commands import JobCancel, JobList, JobResult, JobStatus
 from chiveworks.cli._job_submit import JobSubmit
 from chiveworks.cli._override_commands import CatalogueAdopt, CatalogueRevert
@@ -45,6 +46,7 @@
     JobCancel,
     JobResult,
     Status,
+    Explain,
 )
 
 
--- a/chiveworks/events/__init__.py
+++ b/chiveworks/events/__init__.py
@@ -3,4 +3,6 @@
 from chiveworks.events._event_log import EventLog
 from chiveworks.events._event_meter import EventMeter
 
-__all__ = ('EventLog', 'EventMeter')
+from chiveworks.events._story import StoryLine, tell_story
+
+__all__ = ('EventLog', 'EventMeter', 'StoryLine', 'tell_story')
--- /dev/null
+++ b/chiveworks/events/tests/test_story.py
@@ -0,0 +1,41 @@
+"""The story of a job from mixed log lines."""
+
+import json
+
+from chiveworks.events import tell_story
+
+
+def line(at_s, event, **fields):
+    return json.dumps({'at': at_s, 'event': event, 'process': 'p', **fields})
+
+
+LINES = [
+    line(10.0, 'job_completed', job='a', late=True, duration_ms=9000),
+    line(1.0, 'job_submitted', job='a', outcome='accepted'),
+    line(1.0, 'job_submitted', job='b', outcome='refused'),
+    'host-7 ' + line(1.1, 'task_claimed', job='a', waited_ms=100),
+    line(2.0, 'run_ended', job='a', how='failed'),
+    line(5.0, 'leadership_lost', token=3),
+    'no log line',
+    '{"at": 3',
+]
+
+
+def test_lines_are_ordered_and_gaps_are_named():
+    """Guards against a story that hides the time nothing is known of."""
+    story = tell_story('a', LINES)
+    texts = [entry.text for entry in story]
+    assert texts[0].startswith('job_submitted')
+    assert '(no line for 3.0 s)' in texts
+    assert any(text.startswith('leadership_lost') for text in texts)
+    assert texts[-1] == ('= completed, late: runs failed 1, first claim after 100 ms')
+
+
+def test_a_refused_job_is_said_not_to_be_accepted():
+    """Guards against a refusal that reads like a loss."""
+    assert 'not accepted (refused)' in tell_story('b', LINES)[-1].text
+
+
+def test_an_unknown_job_has_no_story():
+    """Guards against a guess where nothing is known."""
+    assert tell_story('c', LINES) == []
