--- a/chiveworks/platform/_metadata_client.py
+++ b/chiveworks/platform/_metadata_client.py
@@ -1,6 +1,5 @@
 """The platform's metadata store over HTTP."""
 
-import asyncio
 import base64
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -8,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from chiveworks.base import Failure, Revision, Step, StoreLeaseId
+from chiveworks.base import Clock, Failure, Revision, Step, StoreLeaseId
 from chiveworks.metastore import (
     Change,
     Committed,
@@ -21,11 +20,13 @@
 
 #: Bounds of the limit of a call: the store answers in 4 ms, and in 240 ms when it
 #: is slow. An answer that was lost is noticed after the lower one.
-LEAST_LIMIT: Final = timedelta(milliseconds=120)
+LEAST_LIMIT: Final = timedelta(milliseconds=300)
 CALL_LIMIT: Final = timedelta(milliseconds=800)
-#: Failed calls in a row after which clients are refused without a call. The
-#: watches go on trying and show when the store is back.
+#: Failed calls in a row, and time without an answer, after which clients are
+#: refused without a call. The watches go on trying and show when the store is back.
+#: Calls that a slow store answers too late fail together, hence the time.
 FAILURES_UNAVAILABLE: Final = 3
+SILENCE_UNAVAILABLE: Final = timedelta(milliseconds=700)
 #: Limit of a call in multiples of the time that recent calls took.
 LIMIT_FACTOR: Final = 4
 #: Answers of a watch may be late by as much as those of other calls.
@@ -45,22 +46,30 @@
 
     Args:
         address: Host and port.
+        clock: Source of time.
         observe: Called with path, duration and success of each timed call.
     """
 
     def __init__(
-        self, address: str, observe: Callable[[str, timedelta, bool], None]
+        self,
+        address: str,
+        clock: Clock,
+        observe: Callable[[str, timedelta, bool], None],
     ) -> None:
+        self._clock = clock
         self._calls = Channel(address, CALL_LIMIT)
         self._watches = Channel(address, CALL_LIMIT)
         self._limit = CALL_LIMIT
         self._observe = observe
         self._failures = 0
+        self._answered_at = clock.monotonic()
 
     @property
     def available(self) -> bool:
         """Whether a call is likely to be answered."""
-        return self._failures < FAILURES_UNAVAILABLE
+        if self._failures < FAILURES_UNAVAILABLE:
+            return True
+        return self._clock.monotonic() - self._answered_at < SILENCE_UNAVAILABLE
 
     async def read(
         self, key: str, *, stale: bool = False
@@ -190,8 +199,7 @@
         writes: bool = True,
     ) -> Result[Reply, Failure]:
         """Sends a call whose limit follows the time that recent calls took."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        started_at = self._clock.monotonic()
         answer = await self._calls.call(
             method,
             path,
@@ -201,7 +209,7 @@
             timeout=self._limit,
             writes=writes,
         )
-        duration = timedelta(seconds=loop.time() - started_at)
+        duration = self._clock.monotonic() - started_at
         self._observe(path, duration, not isinstance(answer, Err))
         self._count(answered=not isinstance(answer, Err))
         if isinstance(answer, Err):
@@ -214,6 +222,8 @@
 
     def _count(self, *, answered: bool) -> None:
         self._failures = 0 if answered else self._failures + 1
+        if answered:
+            self._answered_at = self._clock.monotonic()
 
 
 def _decode(
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -55,7 +55,9 @@
         self._log = EventLog(self._clock, fields)
         self._meter = EventMeter(settings.process, settings.zone, self._queue_lengths)
         self._log.subscribe(self._meter.observe)
-        self._store = HttpMetadataStore(settings.store, self._observe_store)
+        self._store = HttpMetadataStore(
+            settings.store, self._clock, self._observe_store
+        )
         self._advisor = HttpAdvisor(settings.advice)
         self._catalogue: QueueCatalogue | None = None
         self._operators: Replica[QueueCatalogue | str] = Replica(
