--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -81,6 +81,8 @@
     def set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         """Lets a run work at a share of its speed."""
         worker.set_pace(task, percent)
+        # A run that was paused has made no progress for a reason.
+        task.progressed_at = self._clock.monotonic()
         self._spawn(self._pace(worker, task, percent))
 
     async def _start(self, task: Task, worker: WorkerView, ticket: str) -> None:
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -21,6 +21,7 @@
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._run_tracker import RunTracker
+from chiveworks.dispatch._stall_watch import StallWatch
 from chiveworks.dispatch._worker_control import OrderOutcome, WorkerControl
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.dispatch._worker_session import WorkerSession
@@ -90,12 +91,13 @@
         self.table = JobTable(
             clock, log, self.writer, self.orders.stop, bounds.early_limit
         )
+        health = WorkerHealth(clock, log)
         self.tracker = RunTracker(
             clock,
             log,
             self.table,
             self.writer,
-            WorkerHealth(clock, log),
+            health,
             self._wake.set,
             self.orders.stop,
             self.orders.withdraw,
@@ -106,6 +108,7 @@
         self._assigner = Assigner(
             clock, log, self.table, placer, service_of, self._desk
         )
+        self._stalls = StallWatch(clock, self.fleet.workers, self.orders, health)
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
@@ -238,6 +241,7 @@
             for task in self.fleet.lapsed_orphans():
                 self.table.requeue(task)
             self._drainer.check()
+            self._stalls.check()
             self._forget_old(now)
             if now - published_at > PENDING_GAP:
                 published_at = now
--- /dev/null
+++ b/chiveworks/dispatch/_stall_watch.py
@@ -0,0 +1,65 @@
+"""Finds runs that stand still on a worker that answers."""
+
+from datetime import timedelta
+from typing import Final
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._health import WorkerHealth
+from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.workflow import Task, TaskState
+
+#: Time without progress after which a run is taken to stand still. Reports come at
+#: least every 0.9 s, and a run that resumes from a checkpoint begins 0.6 s late.
+STALL: Final = timedelta(milliseconds=2400)
+#: Time without work for a worker on which runs stand still.
+QUARANTINE: Final = timedelta(seconds=3)
+_FULL: Final = 100
+
+
+class StallWatch:
+    """Stops runs without progress, so that they start again elsewhere.
+
+    Args:
+        clock: Source of time.
+        workers: Workers by id.
+        orders: Sends the stops.
+        health: Keeps further work away from the worker.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        workers: dict[WorkerId, WorkerView],
+        orders: Orders,
+        health: WorkerHealth,
+    ) -> None:
+        self._clock = clock
+        self._workers = workers
+        self._orders = orders
+        self._health = health
+
+    def check(self) -> None:
+        """Stops what stands still."""
+        now = self._clock.monotonic()
+        for worker in self._workers.values():
+            if worker.live:
+                self._check_worker(worker, now)
+
+    def _check_worker(self, worker: WorkerView, now: timedelta) -> None:
+        stalled = [task for task in worker.tasks.values() if _stands_still(task, now)]
+        for task in stalled:
+            task.avoided.add(worker.worker_id)
+            self._orders.stop(task, 'no progress')
+        if stalled:
+            self._health.quarantine(worker, QUARANTINE)
+
+
+def _stands_still(task: Task, now: timedelta) -> bool:
+    return (
+        task.state is TaskState.RUNNING
+        and task.pace_percent == _FULL
+        and task.progress_percent < _FULL
+        and not task.spec.gang
+        and now - task.progressed_at > STALL
+    )
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -193,6 +193,20 @@
     assert site.advisor.calls < 4
 
 
+async def test_a_run_that_stands_still_starts_elsewhere(site):
+    """Guards against work that waits for a worker which answers and does nothing."""
+    await start(site)
+    for runner in site.runners.values():
+        runner.stalls = True
+    await site.submit('j')
+    stuck = next(n for n, runner in site.runners.items() if runner.running)
+    for name, runner in site.runners.items():
+        runner.stalls = name == stuck
+    await site.wait(6)
+    assert await site.state('j') is JobState.COMPLETED
+    assert len(site.starts()) == 2
+
+
 async def test_counts_of_a_leader_that_is_gone_are_not_given_out(site):
     """Guards against a count that stands still while jobs are accepted."""
     process = await start(site)
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -42,6 +42,7 @@
         reachable: Whether calls are answered and carried out.
         lose_orders: Number of starts that are carried out and not answered.
         fails: Whether runs end as failed.
+        stalls: Whether runs make no progress and do not end.
         history: Starts and ends of runs in order, for checks.
     """
 
@@ -49,6 +50,7 @@
         self.reachable = True
         self.lose_orders = 0
         self.fails = False
+        self.stalls = False
         self.history: list[tuple[str, TaskRef, int]] = []
         self.token = 0
         self.born_ms = 1
@@ -150,7 +152,7 @@
             for ref in tuple(self._runs):
                 self._end(ref, EndKind.LAPSED)
         for ref, run in tuple(self._runs.items()):
-            if now >= run.ends_at:
+            if now >= run.ends_at and not self.stalls:
                 self._end(ref, EndKind.FAILED if self.fails else EndKind.DONE)
 
     def _end(self, ref: TaskRef, kind: EndKind) -> None:
@@ -160,9 +162,16 @@
         self.history.append((kind.value, ref, run.attempt))
         self._ends.append(EndRow(number, ref, run.attempt, kind, ''))
 
+    def _percent(self, run: _Run) -> int:
+        if self.stalls:
+            return run.percent
+        left = (run.ends_at - self._clock.monotonic()) / self._duration
+        run.percent = int(100 * (1 - left))
+        return run.percent
+
     def _report(self) -> WorkerReport:
         rows = [
-            RunRow(ref, run.attempt, '', run.percent, 0)
+            RunRow(ref, run.attempt, '', self._percent(run), 0)
             for ref, run in self._runs.items()
         ]
         return WorkerReport(
