--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -12,7 +12,7 @@
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Task
+from chiveworks.workflow import UNKNOWN_PACE, Task
 
 
 class Fleet:
@@ -75,6 +75,8 @@
         look carries our token, and the worker then refuses orders of that term.
         """
         now = self._clock.monotonic()
+        # The earlier leader may have paused the run.
+        task.pace_percent = UNKNOWN_PACE if task.spec.fills else task.pace_percent
         task.started_at = now
         task.progressed_at = now
         worker_id = task.worker or WorkerId('')
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -10,7 +10,7 @@
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.metastore import Term
-from chiveworks.workflow import Task, TaskRef, TaskState
+from chiveworks.workflow import UNKNOWN_PACE, Task, TaskRef, TaskState
 
 #: Pause before an order without an answer is sent again.
 RETRY_PAUSE: Final = timedelta(milliseconds=100)
@@ -190,7 +190,7 @@
             )
             if outcome is not OrderOutcome.ACCEPTED and task.attempt == attempt:
                 # The next report finds the pace to differ and sets it again.
-                worker.set_pace(task, -1)
+                worker.set_pace(task, UNKNOWN_PACE)
 
     def _log_order(
         self, event: str, task: Task, worker: WorkerView, **fields: object
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -207,6 +207,19 @@
     assert len(site.starts()) == 2
 
 
+async def test_the_next_leader_resumes_runs_that_the_last_one_paused(site):
+    """Guards against paused runs that nobody remembers to resume."""
+    process = await start(site)
+    for runner in site.runners.values():
+        runner._duration = timedelta(seconds=60)
+    await site.submit('j', StepSpec(1, CORE, fills=True))
+    await site.kill(process)
+    site.process('b')
+    await site.wait(4)
+    paces = [pace for runner in site.runners.values() for pace in runner.paces.values()]
+    assert paces == [100]
+
+
 async def test_counts_of_a_leader_that_is_gone_are_not_given_out(site):
     """Guards against a count that stands still while jobs are accepted."""
     process = await start(site)
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -15,9 +15,10 @@
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_run import StepRun
 from chiveworks.workflow._step_spec import StepSpec
-from chiveworks.workflow._task import Task, TaskRef, TaskState
+from chiveworks.workflow._task import UNKNOWN_PACE, Task, TaskRef, TaskState
 
 __all__ = (
+    'UNKNOWN_PACE',
     'Job',
     'JobSpec',
     'JobState',
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -23,6 +23,10 @@
     position: int
 
 
+#: Pace of a run whose last order to change it had no known outcome.
+UNKNOWN_PACE = -1
+
+
 class TaskState(enum.IntEnum):
     """Where a task stands; the numbers are stored."""
 
