--- a/chiveworks/dispatch/_advice.py
+++ b/chiveworks/dispatch/_advice.py
@@ -11,7 +11,7 @@
 from chiveworks.base import Clock, Failure, JobId, WorkerId
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import StepRun, Task
+from chiveworks.workflow import Job, StepRun, Task
 
 #: Workers named in one call: each costs time, and the platform's rule on credit
 #: counts one call on 30 workers a step.
@@ -95,6 +95,12 @@
         """Drops the tickets of a step, which are asked for anew when needed."""
         self._known.pop(run, None)
 
+    def forget_job(self, job: Job) -> None:
+        """Drops the tickets of all steps of a job that has ended."""
+        ended = [run for run in self._known if run.job is job]
+        for run in ended:
+            self._known.pop(run)
+
     async def run(self) -> None:
         """Asks until cancelled."""
         while True:
--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -73,25 +73,32 @@
     def _learn(
         self, worker: WorkerView, serving: list[Task], fills: list[Task]
     ) -> None:
-        capacity = worker.info.capacity.cpu_millicores or 1
         now = self._clock.monotonic()
-        loads: dict[str, float] = {}
-        for task in fills:
-            image = task.spec.image
-            loads[image] = loads.get(image, 0) + task.measured / capacity
-        spare: dict[str, float] = {}
+        loads = _loads(worker, fills)
+        worker.spare_headroom = {}
         for task in serving:
             image, headroom = task.spec.image, _headroom(task)
             self._model.partial_fit(task.ref, image, loads, headroom, now)
-            lost = sum(
-                self._model.weight(image, filling) * share
-                for filling, share in loads.items()
-            )
-            trend = self._bases.setdefault(task.ref, Trend())
-            left = trend.update(headroom + lost, now) - KEPT_HEADROOM
-            spare[image] = min(spare.get(image, left), left)
-        worker.spare_headroom = spare
-        self._model.refresh(now)
+            left = self._expected(task, loads, now) - KEPT_HEADROOM
+            known = worker.spare_headroom.get(image, left)
+            worker.spare_headroom[image] = min(known, left)
+        if self._model.refresh(now):
+            self._forget_ended(now)
+
+    def _expected(self, task: Task, loads: dict[str, float], now: timedelta) -> float:
+        """Returns the headroom that a task will have without filling tasks."""
+        lost = sum(
+            self._model.weight(task.spec.image, filling) * share
+            for filling, share in loads.items()
+        )
+        base = self._bases.setdefault(task.ref, Trend())
+        return base.update(_headroom(task) + lost, now)
+
+    def _forget_ended(self, now: timedelta) -> None:
+        ended = [ref for ref, base in self._bases.items() if base.stale(now)]
+        for ref in ended:
+            self._bases.pop(ref)
+            self._model.forget(ref)
 
     def _relieve(self, worker: WorkerView, worst: Task, fills: list[Task]) -> None:
         working = [task for task in fills if task.pace_percent != 0]
@@ -155,6 +162,16 @@
         return since is not None and self._clock.monotonic() - since < CHANGE_GAP
 
 
+def _loads(worker: WorkerView, fills: list[Task]) -> dict[str, float]:
+    """Returns the share of the worker that filling tasks use, by image."""
+    capacity = worker.info.capacity.cpu_millicores or 1
+    loads: dict[str, float] = {}
+    for task in fills:
+        image = task.spec.image
+        loads[image] = loads.get(image, 0) + task.measured / capacity
+    return loads
+
+
 def _fills(task: Task) -> bool:
     return task.spec.fills and task.state is TaskState.RUNNING
 
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -40,8 +40,9 @@
 #: Longest wait of other tasks for the rack of their data: elsewhere they take
 #: several times as long.
 RACK_WAIT: Final = timedelta(seconds=1)
-#: Longest wait for a worker without excess.
-EXCESS_WAIT: Final = timedelta(seconds=3)
+#: Longest wait for a worker without excess; below the 3 s for which a job may have
+#: nothing running while there is room (the platform's rule on lost jobs).
+EXCESS_WAIT: Final = timedelta(milliseconds=2500)
 
 
 class Placer:
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -181,6 +181,7 @@
         if job.state.terminal and job.version == job.durable_version:
             if not job.active_tasks():
                 self.table.forget(job)
+                self._desk.forget_job(job)
                 self._ended.append((self._clock.monotonic(), job.job_id))
 
     def _on_released(self, worker: WorkerView, task: Task, reason: str) -> None:
--- a/chiveworks/dispatch/_trend.py
+++ b/chiveworks/dispatch/_trend.py
@@ -11,6 +11,9 @@
 #: How far ahead the figure is told: most filling tasks run for about 2 s.
 AHEAD: Final = timedelta(milliseconds=1800)
 
+#: Time without a figure after which the task has ended.
+STALE: Final = timedelta(seconds=30)
+
 
 class Trend:
     """Two moving means of a figure and the line through them."""
@@ -22,6 +25,10 @@
         self._fast: float = 0
         self._slow: float = 0
 
+    def stale(self, now: timedelta) -> bool:
+        """Whether no figure has come for long."""
+        return self._at is not None and now - self._at > STALE
+
     def update(self, figure: float, now: timedelta) -> float:
         """Takes a figure; returns the lowest one expected until `AHEAD` from now."""
         if self._at is None:
