--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -15,6 +15,11 @@
 #: Headroom lost by a serving task when a filling task of an unknown image takes a
 #: whole worker. Headroom is the latency target over the tail latency.
 PRIOR_WEIGHT: Final = 1.0
+#: Weight of a pair of which too little is known: it lets few tasks of an unknown
+#: image start on a worker at a time.
+CAUTIOUS_WEIGHT: Final = 2.0
+#: Sum of squared changes of shares from which a pair is known.
+EVIDENCE: Final = 0.04
 #: Strength of the prior, in sums of squared changes of shares.
 PRIOR_STRENGTH: Final = 0.3
 #: Share of what was learned that is kept after a second; the amounts change.
@@ -60,7 +65,9 @@
 
     def fit(self, priors: Mapping[str, float]) -> dict[str, float]:
         """Returns the weight of each filling image."""
-        images = sorted(self.product)
+        images = sorted(
+            image for image in self.product if self.cross[image, image] > EVIDENCE
+        )
         rows = [self._row(image, images, priors) for image in images]
         solved = solve_linear(rows)
         return {
@@ -157,4 +164,4 @@
 
     def weight(self, serving: str, filling: str) -> float:
         """Returns the headroom lost when `filling` takes a whole worker."""
-        return self.weights_.get(serving, {}).get(filling, PRIOR_WEIGHT)
+        return self.weights_.get(serving, {}).get(filling, CAUTIOUS_WEIGHT)
