--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -17,9 +17,9 @@
 PRIOR_WEIGHT: Final = 1.0
 #: Weight of a pair of which too little is known: it lets few tasks of an unknown
 #: image start on a worker at a time.
-CAUTIOUS_WEIGHT: Final = 3.0
+CAUTIOUS_WEIGHT: Final = 2.0
 #: Sum of squared changes of shares from which a pair is known.
-EVIDENCE: Final = 0.08
+EVIDENCE: Final = 0.04
 #: Strength of the prior, in sums of squared changes of shares.
 PRIOR_STRENGTH: Final = 0.3
 #: Share of what was learned that is kept after a second; the amounts change.
