Keep a job's age across leaders; log refusals of the clients' interface with their reason

Cause: explain showed a job of 22 s as 10 s old and in time, since the deadline started anew with each leader; and a 503 before the intake left no line.

--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
+from typing import Final
 
 from chiveworks.base import Clock, JobId
 from chiveworks.dispatch._progress_writer import ProgressWriter
@@ -19,6 +20,10 @@
     restore_progress,
 )
 
+_NEW: Final = timedelta()
+#: Greatest age of a job that is believed; beyond it a clock is wrong.
+_OLDEST: Final = timedelta(days=1)
+
 
 class JobTable:
     """Jobs by id; step runs with waiting tasks in the order in which they start.
@@ -50,7 +55,10 @@
 
     def add(self, submission: Submission, progress: bytes | None = None) -> Job:
         """Takes a submission in, with the progress that an earlier term stored."""
-        job = Job(submission, self._clock.monotonic())
+        # Only a job of an earlier leader is older than its submission's event, and
+        # the times of day of two processes differ by more than that event takes.
+        age = self._clock.now() - submission.accepted_at if progress else timedelta()
+        job = Job(submission, self._clock.monotonic() - min(max(age, _NEW), _OLDEST))
         self.jobs[job.job_id] = job
         if progress is not None:
             restore_progress(job, progress)
--- a/chiveworks/dispatch/tests/site.py
+++ b/chiveworks/dispatch/tests/site.py
@@ -122,7 +122,8 @@
 
     async def submit(self, name, *steps, queue=QUEUE):
         spec = JobSpec('payload', tuple(steps) or (StepSpec(1, Resources(1000, 1)),))
-        call = self.spawn(self.intake.submit(Submission(JobId(name), queue, spec)))
+        submission = Submission(JobId(name), queue, spec, accepted_at=self.clock.now())
+        call = self.spawn(self.intake.submit(submission))
         await self.clock.advance(timedelta(milliseconds=50))
         return call.result()
 
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -220,6 +220,18 @@
     assert paces == [100]
 
 
+async def test_a_job_keeps_its_age_under_the_next_leader(site):
+    """Guards against a late job that a new leader takes for a new one."""
+    process = await start(site)
+    await site.submit('j', StepSpec(1, CORE), StepSpec(1, CORE, after=(0,)))
+    await site.kill(process)
+    await site.wait(5)
+    site.process('b')
+    await site.wait(6)
+    facts = site.log.named('job_completed')[-1]
+    assert facts['late'] and facts['duration_ms'] > 5000
+
+
 async def test_counts_of_a_leader_that_is_gone_are_not_given_out(site):
     """Guards against a count that stands still while jobs are accepted."""
     process = await start(site)
--- a/chiveworks/platform/_front.py
+++ b/chiveworks/platform/_front.py
@@ -7,11 +7,13 @@
 
 from aiohttp import web
 
-from chiveworks.base import JobId
+from chiveworks.base import Clock, JobId
+from chiveworks.events import EventLog
 from chiveworks.intake import IntakeVerdict, JobIntake, QueueCatalogue, QueueRoute
 from chiveworks.platform._decoding import decode_job
 from chiveworks.workflow import JobState, Submission
 
+_REFUSAL: Final = 400
 _JOB_ID: Final = re.compile('[0-9a-fA-F]{16}')
 #: When a refused client may come back, in whole seconds as the header has them.
 RETRY_AFTER_S: Final = '1'
@@ -24,6 +26,8 @@
         intake: Takes jobs in.
         catalogue: Returns the newest configuration; None before the first.
         closing: Whether connections are to be closed after their answer.
+        clock: Source of time.
+        log: Where refusals are written.
     """
 
     def __init__(
@@ -31,7 +35,11 @@
         intake: JobIntake,
         catalogue: Callable[[], QueueCatalogue | None],
         closing: Callable[[], bool],
+        clock: Clock,
+        log: EventLog,
     ) -> None:
+        self._clock = clock
+        self._log = log
         self._intake = intake
         self._catalogue = catalogue
         self._closing = closing
@@ -39,10 +47,24 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answers one request."""
         response = await self._dispatch(request)
+        if response.status >= _REFUSAL:
+            self._log_refusal(request, response)
         if self._closing():
             response.force_close()
         return response
 
+    def _log_refusal(self, request: web.BaseRequest, response: web.Response) -> None:
+        catalogue = self._catalogue()
+        self._log.write(
+            'request_refused',
+            job=request.path.rpartition('/')[2],
+            method=request.method,
+            host=_host(request),
+            status=response.status,
+            reason=response.text,
+            configuration=catalogue and catalogue.version,
+        )
+
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         catalogue = self._catalogue()
         if catalogue is None:
@@ -70,8 +92,10 @@
             spec = decode_job(await request.read())
         except ValueError as error:
             return _answer(400, str(error))
-        verdict = await self._intake.submit(Submission(job_id, route.policy, spec))
-        return _verdict_answer(verdict)
+        submission = Submission(
+            job_id, route.policy, spec, accepted_at=self._clock.now()
+        )
+        return _verdict_answer(await self._intake.submit(submission))
 
     async def _cancel(self, job_id: JobId) -> web.Response:
         return _verdict_answer(await self._intake.cancel(job_id))
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -103,7 +103,13 @@
         intake = JobIntake(
             self._store, self._clock, self._log, lambda: self._store.available
         )
-        front = ClientFront(intake, lambda: self._catalogue, self._stopping.is_set)
+        front = ClientFront(
+            intake,
+            lambda: self._catalogue,
+            self._stopping.is_set,
+            self._clock,
+            self._log,
+        )
         for handler, address in (
             (front.handle, self._settings.front),
             (self._answer_ready, self._settings.ready),
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -49,6 +49,7 @@
                 recurrence.interval // _MILLISECOND,
             ),
             'cancelled': submission.cancelled,
+            'accepted': (submission.accepted_at - _EPOCH) // _MILLISECOND,
         }
     )
     return packed
@@ -221,4 +222,5 @@
             recurrence,
         ),
         fields['cancelled'],
+        _EPOCH + fields['accepted'] * _MILLISECOND,
     )
--- a/chiveworks/workflow/_job_spec.py
+++ b/chiveworks/workflow/_job_spec.py
@@ -1,6 +1,7 @@
 """What a client asks for when it submits a job."""
 
 from dataclasses import dataclass
+from datetime import datetime, timezone
 
 from chiveworks.base import JobId
 from chiveworks.workflow._queue_policy import QueuePolicy
@@ -14,6 +15,8 @@
 #: Most tasks of a step, for the same reason.
 COUNT_LIMIT = 10_000
 
+_UNKNOWN_TIME = datetime(1970, 1, 1, tzinfo=timezone.utc)
+
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
@@ -50,12 +53,14 @@
         queue: Policy of the queue at the time of acceptance.
         spec: The job itself.
         cancelled: Whether a client has cancelled the job.
+        accepted_at: Time of day of the acceptance.
     """
 
     job_id: JobId
     queue: QueuePolicy
     spec: JobSpec
     cancelled: bool = False
+    accepted_at: datetime = _UNKNOWN_TIME
 
 
 def _step_problem(position: int, step: StepSpec) -> str:
--- a/chiveworks/workflow/tests/test_codec.py
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -54,6 +54,7 @@
         st.sampled_from((None, RECURRENCE)),
     ),
     st.booleans(),
+    st.just(datetime(2026, 5, 2, tzinfo=timezone.utc)),
 )
 
 
