--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -140,6 +140,8 @@
         ready = (
             self._catalogue is not None
             and silence < STORE_SILENCE
+            # Clients of a zone that is cut off are better served by another zone.
+            and self._store.available
             and not self._stopping.is_set()
         )
         return web.Response(status=200 if ready else 503)
--- /dev/null
+++ b/chiveworks/platform/tests/test_metadata_client.py
@@ -0,0 +1,103 @@
+"""What the client of the metadata store concludes from failed calls."""
+
+import asyncio
+from datetime import timedelta
+
+from aiohttp import web
+
+from chiveworks.base import ManualClock, Revision
+from chiveworks.metastore import Change, Committed, Conflict
+from chiveworks.platform._metadata_client import HttpMetadataStore
+
+
+class Endpoint:
+    """A store that answers as told and records what it was sent."""
+
+    def __init__(self):
+        self.answers = []
+        self.bodies = []
+
+    async def handle(self, request):
+        self.bodies.append(await request.json() if request.can_read_body else {})
+        status, body = self.answers.pop(0)
+        return web.json_response(body, status=status)
+
+
+async def call(endpoint, work):
+    runner = web.ServerRunner(web.Server(endpoint.handle))
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    clock = ManualClock()
+    calls = []
+    store = HttpMetadataStore(
+        f'127.0.0.1:{port}', clock, lambda *facts: calls.append(facts)
+    )
+    try:
+        return await work(store, clock)
+    finally:
+        await store.close()
+        await runner.cleanup()
+
+
+async def test_failed_calls_make_the_store_unavailable_and_an_answer_ends_that():
+    """Guards against clients that are sent to a process without the store, and
+    against refusals because calls to a slow store were late together."""
+    endpoint = Endpoint()
+    endpoint.answers = [(503, {})] * 3 + [(404, {})]
+
+    async def work(store, clock):
+        for _ in range(3):
+            await store.read('k')
+        assert store.available
+        clock.shift(timedelta(seconds=1))
+        assert not store.available
+        await store.read('k')
+        assert store.available
+
+    await call(endpoint, work)
+
+
+async def test_a_transaction_is_sent_with_its_conditions_and_leases():
+    """Guards against keys that outlive, or do not outlive, their leader's lease."""
+    endpoint = Endpoint()
+    item = {'key': 'a', 'value': 'eA==', 'revision': 7}
+    endpoint.answers = [(200, {'revision': 9}), (412, {'items': [item]})]
+    change = Change(
+        expected={'a': Revision(3)},
+        writes={'a': b'x', 'b': b'y'},
+        removals=('c',),
+        lease=5,
+        leased=frozenset('a'),
+    )
+
+    async def work(store, _clock):
+        done = await store.commit(change)
+        assert done.ok_value == Committed(Revision(9))
+        conflict = await store.commit(change)
+        assert isinstance(conflict.ok_value, Conflict)
+        assert conflict.ok_value.items['a'].content == b'x'
+
+    await call(endpoint, work)
+    body = endpoint.bodies[0]
+    assert body['expected_rev'] == [{'key': 'a', 'revision': 3}]
+    assert {row['key']: row['lease'] for row in body['writes']} == {'a': 5, 'b': 0}
+    assert body['remove'] == ['c']
+
+
+async def test_pages_are_read_to_the_end_and_watched_from_the_first():
+    """Guards against changes between two pages that nobody sees."""
+    endpoint = Endpoint()
+    rows = [{'key': name, 'value': '', 'revision': 1} for name in ('p/a', 'p/b')]
+    endpoint.answers = [
+        (200, {'items': rows[:1], 'has_more': True, 'store_revision': 10}),
+        (200, {'items': rows[1:], 'has_more': False, 'store_revision': 12}),
+    ]
+
+    async def work(store, _clock):
+        return (await store.read_all('p/')).ok_value
+
+    listing = await asyncio.wait_for(call(endpoint, work), 10)
+    assert [item.key for item in listing.items] == ['p/a', 'p/b']
+    assert listing.revision == 10
