Keep filling tasks apart by image: full rooms, mixed workers, no impatience

Half of the room that serving tasks leave lies on workers where two groups of serving images are mixed, on which hardly any filling image is harmless. And after 2.5 s a filling task was placed anywhere, which then cost pauses.

Change: a full room counts for tasks of the same image only, and not for tasks with a data rack; serving tasks go where they close the fewest filling images out (first to workers of the same image, then to empty ones); tasks that waited long are placed beside disturbed ones only while under half of the processors are claimed, as the rule on lost jobs asks.

Ruled out: memory and processors as what binds (2 to 6 of 34 workers each).

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from chiveworks.base import Clock, Resources
+from chiveworks.base import Clock
 from chiveworks.dispatch._advice import AdviceDesk
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Job, StepRun, Task
+from chiveworks.workflow import Job, StepRun, StepSpec, Task
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -47,7 +47,7 @@
         """Claims workers for all waiting tasks that fit; returns the tasks."""
         now = self._clock.monotonic()
         claimed: list[Task] = []
-        full: defaultdict[str, list[tuple[bool, Resources]]] = defaultdict(list)
+        full: defaultdict[str, list[StepSpec]] = defaultdict(list)
         for run in _by_urgency(self._table.ready, now):
             waiting = run.waiting()
             if not waiting:
@@ -63,7 +63,7 @@
         run: StepRun,
         waiting: list[Task],
         service: str,
-        full: list[tuple[bool, Resources]],
+        full: list[StepSpec],
     ) -> list[Task]:
         if run.spec.gang and len(waiting) < run.spec.count:
             # The members of the last run have not all ended.
@@ -77,7 +77,7 @@
         if len(claimed) == len(waiting):
             self._table.ready.pop(run, None)
         elif _plain(run):
-            full.append((run.spec.fills, run.spec.demand))
+            full.append(run.spec)
         for task in claimed:
             self._log_claim(task)
         return claimed
@@ -167,15 +167,27 @@
 
 
 def _plain(run: StepRun) -> bool:
-    """Whether only room decides where tasks of the step may run."""
+    """Whether only room and the image decide where tasks of the step may run."""
     spec = run.spec
-    advised = run.job.queue.advised
-    return not (spec.required_label or spec.worker_limit or spec.gang or advised)
+    special = (
+        spec.required_label
+        or spec.worker_limit
+        or spec.gang
+        or spec.data_rack
+        or run.job.queue.advised
+    )
+    return not special
+
 
+def _hopeless(run: StepRun, full: list[StepSpec]) -> bool:
+    """Whether a task that needs no more found no room in this round.
 
-def _hopeless(run: StepRun, full: list[tuple[bool, Resources]]) -> bool:
-    """Whether a task that needs no more found no room in this round."""
+    A filling task may have found no room because of its image alone.
+    """
+    spec = run.spec
     return any(
-        fills is run.spec.fills and demand.fits_in(run.spec.demand)
-        for fills, demand in full
+        other.fills is spec.fills
+        and (not spec.fills or other.image == spec.image)
+        and other.demand.fits_in(spec.demand)
+        for other in full
     )
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -1,6 +1,6 @@
 """Chooses the worker for a task."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Final
 
@@ -15,9 +15,9 @@
 REMOTE_PENALTY: Final = 2.0
 #: Penalty for a worker on which the task has failed before.
 AVOIDED_PENALTY: Final = 4.0
-#: Penalty for each further image that serves on a worker: the fewer images meet
-#: there, the more images of filling tasks disturb none of them.
-MIXED_IMAGES_PENALTY: Final = 3.0
+#: Penalty for each part of the filling images that a worker no longer suits once
+#: another image serves there.
+MIXED_IMAGES_PENALTY: Final = 6.0
 #: Preference for a worker on which the same image serves already.
 SAME_IMAGE_BONUS: Final = 1.0
 #: Headroom that placement leaves to a serving task while a filling task runs.
@@ -37,8 +37,9 @@
 #: Longest wait of other tasks for the rack of their data: elsewhere they take
 #: several times as long.
 RACK_WAIT: Final = timedelta(seconds=1)
-#: Longest wait for a worker without excess; below the 3 s for which a job may have
-#: nothing running while there is room (the platform's rule on lost jobs).
+#: Longest wait for a worker without excess while under half of the processors are
+#: claimed; below the 3 s for which a job may then have nothing running (the
+#: platform's rule on lost jobs).
 EXCESS_WAIT: Final = timedelta(milliseconds=2500)
 
 
@@ -80,11 +81,13 @@
         """Returns the worker that a task is claimed for."""
         return self._workers.get(task.worker) if task.worker else None
 
-    def choose(self, task: Task, candidates: Iterable[WorkerView]) -> WorkerView | None:
+    def choose(self, task: Task, candidates: Sequence[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None when it fits nowhere."""
         waited = self._clock.monotonic() - task.waiting_since
-        limit = EXCESS_WAIT if task.spec.fills else RACK_WAIT
-        patient = waited < limit
+        if task.spec.fills:
+            patient = waited < EXCESS_WAIT or _half_used(candidates)
+        else:
+            patient = waited < RACK_WAIT
         suitable = [
             worker
             for worker in candidates
@@ -148,9 +151,14 @@
         self, worker: WorkerView, spec: StepSpec, room_left: float
     ) -> float:
         """Returns how well a worker suits a serving task, by images and best fit."""
-        others = worker.room.serving_images.keys() - {spec.image}
-        same = spec.image in worker.room.serving_images
-        return SAME_IMAGE_BONUS * same - MIXED_IMAGES_PENALTY * len(others) - room_left
+        present = worker.room.serving_images
+        if spec.image in present:
+            return SAME_IMAGE_BONUS - room_left
+        if not present:
+            return -room_left
+        now = self._model.openness(present)
+        then = self._model.openness((*present, spec.image))
+        return -MIXED_IMAGES_PENALTY * (now - then) - room_left
 
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
         """Whether a filling task gets the processors it asks for and harms nobody."""
@@ -213,3 +221,8 @@
 
 def _same_step(worker: WorkerView, task: Task) -> int:
     return sum(other.run_of is task.run_of for other in worker.tasks.values())
+
+
+def _half_used(workers: Sequence[WorkerView]) -> bool:
+    capacity = sum(worker.info.capacity.cpu_millicores for worker in workers)
+    return 2 * sum(worker.room.cpu_millicores for worker in workers) >= capacity
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -1,7 +1,7 @@
 """Learns by how much filling tasks disturb serving ones, by pairs of images."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import Final, NamedTuple
 
@@ -28,6 +28,13 @@
 CAUTION: Final = 1.0
 #: Variance below which a level counts as known.
 KNOWN_VARIANCE: Final = 0.02
+#: Weight from which a filling image counts as harmful: between the two groups of
+#: pairs that recorded reports show.
+HARMFUL_WEIGHT: Final = 3.0
+#: Variance below which a weight counts as known.
+KNOWN_WEIGHT_VARIANCE: Final = 2.0
+#: Part of the pairs that is harmless in recorded reports.
+HARMLESS_PART: Final = 0.6
 #: Time without a report after which a step's headroom is forgotten.
 STALE: Final = timedelta(seconds=30)
 #: How often beliefs are aged.
@@ -143,6 +150,26 @@
             return FIRST_WEIGHT + CAUTION * math.sqrt(FIRST_VARIANCE)
         return known.cautious(CAUTION)
 
+    def openness(self, serving: Collection[str]) -> float:
+        """Returns the part of the filling images that disturb none of some images.
+
+        An image that has not been seen beside a serving one counts as a part.
+        """
+        fillings = {image for pairs in self.pressures_.values() for image in pairs}
+        if not fillings:
+            return HARMLESS_PART ** len(serving)
+        suitable = (
+            math.prod(self._suitable_part(each, filling) for each in serving)
+            for filling in fillings
+        )
+        return sum(suitable) / len(fillings)
+
+    def _suitable_part(self, serving: str, filling: str) -> float:
+        known = self.pressures_.get(serving, {}).get(filling)
+        if known is None or known.variance > KNOWN_WEIGHT_VARIANCE:
+            return HARMLESS_PART
+        return float(known.weight < HARMFUL_WEIGHT)
+
     def dump(self) -> bytes:
         """Returns what was learned, for a later process."""
         packed: bytes = msgpack.packb(
--- /dev/null
+++ b/chiveworks/dispatch/tests/test_assigner.py
@@ -0,0 +1,35 @@
+"""Which steps are still looked at once another one has found no room."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chiveworks.base import Resources
+from chiveworks.dispatch._assigner import _hopeless
+from chiveworks.workflow import StepSpec
+
+SMALL, LARGE = Resources(1000, 1), Resources(2000, 1)
+
+
+@pytest.mark.parametrize(
+    ('full', 'waiting', 'hopeless'),
+    [
+        (StepSpec(1, SMALL), StepSpec(1, LARGE), True),
+        (StepSpec(1, LARGE), StepSpec(1, SMALL), False),
+        (StepSpec(1, SMALL, fills=True), StepSpec(1, LARGE), False),
+        (
+            StepSpec(1, SMALL, image='a', fills=True),
+            StepSpec(1, LARGE, image='a', fills=True),
+            True,
+        ),
+        (
+            StepSpec(1, SMALL, image='a', fills=True),
+            StepSpec(1, LARGE, image='b', fills=True),
+            False,
+        ),
+    ],
+)
+def test_only_what_is_as_hard_to_place_is_skipped(full, waiting, hopeless):
+    """Guards against filling tasks of a harmless image that wait because those of a
+    harmful one found no worker."""
+    assert _hopeless(SimpleNamespace(spec=waiting), [full]) is hopeless
