Sort serving tasks by the filling images that disturb them

Which images belong together is known only some seconds after the serving tasks were placed.

Change: while filling tasks wait, serving tasks that differ from the majority of their worker are moved to workers of their kind, or exchanged in pairs; one task of a step at a time, only if all its tasks are at work and the step allows an absence; the target keeps the room.

--- /dev/null
+++ b/chiveworks/dispatch/_consolidator.py
@@ -0,0 +1,210 @@
+"""Sorts serving tasks by the filling images that disturb them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._placer import Placer, fits
+from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import StepRun, Task, TaskState
+
+#: How often moves are looked for.
+CHECK_GAP: Final = timedelta(milliseconds=400)
+#: Moves under way at a time, so that few serving tasks are away.
+MOVES_LIMIT: Final = 8
+#: Time after which a move is given up: a stop, a report, a claim and a start.
+MOVE_LIMIT: Final = timedelta(seconds=4)
+#: Least time between two moves of a task.
+REST: Final = timedelta(seconds=20)
+#: Least time that a task has been at work before a move.
+SETTLED: Final = timedelta(seconds=2)
+_FULL: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    task: Task
+    source: WorkerView
+    target: WorkerView
+    began_at: timedelta
+
+
+class Consolidator:
+    """Moves serving tasks off workers where most others are of another kind.
+
+    Filling tasks find no room on a worker whose serving tasks are disturbed by
+    different images. Tasks are moved to workers of their own kind or exchanged
+    between two workers, one at a time of each step.
+
+    Args:
+        clock: Source of time.
+        log: Where moves are written.
+        workers: Workers by id.
+        orders: Sends the stops.
+        placer: Tells which workers take tasks.
+        model: What is known of interference.
+        wanted: Tells whether filling tasks wait for room.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        workers: dict[WorkerId, WorkerView],
+        orders: Orders,
+        placer: Placer,
+        model: PressureModel,
+        wanted: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._workers = workers
+        self._orders = orders
+        self._placer = placer
+        self._model = model
+        self._wanted = wanted
+        self._checked_at = timedelta()
+        self._moves: dict[StepRun, _Move] = {}
+        self._moved_at: dict[Task, timedelta] = {}
+
+    def check(self) -> None:
+        """Settles the moves under way and begins further ones."""
+        now = self._clock.monotonic()
+        if now - self._checked_at < CHECK_GAP:
+            return
+        self._checked_at = now
+        self._settle(now)
+        if len(self._moves) < MOVES_LIMIT and self._wanted():
+            self._begin(now)
+
+    def _settle(self, now: timedelta) -> None:
+        for run, move in tuple(self._moves.items()):
+            task = move.task
+            over = now - move.began_at > MOVE_LIMIT or run.job.state.terminal
+            if over or (task.reserved is None and _at_work(task)):
+                self._moves.pop(run)
+                move.target.free_reservation(task)
+                task.reserved = None
+        rested = [task for task, at in self._moved_at.items() if now - at > REST]
+        for task in rested:
+            self._moved_at.pop(task)
+
+    def _begin(self, now: timedelta) -> None:
+        majorities = {
+            worker: image
+            for worker in self._placer.open_workers()
+            if (image := _majority(worker))
+        }
+        misplaced = [
+            task
+            for worker, image in majorities.items()
+            for task in worker.tasks.values()
+            if self._model.differs(task.spec.image, image) and self._movable(task, now)
+        ]
+        misplaced.sort(key=lambda task: -task.spec.demand.cpu_millicores)
+        for task in misplaced:
+            if len(self._moves) >= MOVES_LIMIT:
+                return
+            if task.run_of not in self._moves:
+                self._place(task, misplaced, majorities, now)
+
+    def _place(
+        self,
+        task: Task,
+        misplaced: Iterable[Task],
+        majorities: dict[WorkerView, str],
+        now: timedelta,
+    ) -> None:
+        source = self._workers[task.worker or WorkerId('')]
+        for target in self._suitable(task, majorities):
+            if fits(target, task.spec):
+                self._move(task, source, target, now)
+                return
+        for target in self._suitable(task, majorities):
+            for other in self._partners(task, target, misplaced, majorities):
+                self._move(task, source, target, now)
+                self._move(other, target, source, now)
+                return
+
+    def _suitable(
+        self, task: Task, majorities: dict[WorkerView, str]
+    ) -> Iterator[WorkerView]:
+        """Yields the workers whose serving tasks are of the kind of a task."""
+        for worker, image in majorities.items():
+            same = not self._model.differs(task.spec.image, image)
+            if same and self._placer.may_take(worker, task):
+                yield worker
+
+    def _partners(
+        self,
+        task: Task,
+        target: WorkerView,
+        misplaced: Iterable[Task],
+        majorities: dict[WorkerView, str],
+    ) -> Iterator[Task]:
+        """Yields tasks on a target that could change places with a task."""
+        source = self._workers[task.worker or WorkerId('')]
+        for other in misplaced:
+            if (
+                other.worker == target.worker_id
+                and other.run_of not in self._moves
+                and other.run_of is not task.run_of
+                and not self._model.differs(other.spec.image, majorities[source])
+                and self._placer.may_take(source, other)
+                and fits(target, task.spec, without=other.spec.demand)
+                and fits(source, other.spec, without=task.spec.demand)
+            ):
+                yield other
+
+    def _move(
+        self, task: Task, source: WorkerView, target: WorkerView, now: timedelta
+    ) -> None:
+        self._moves[task.run_of] = _Move(task, source, target, now)
+        self._moved_at[task] = now
+        task.reserved = target.worker_id
+        target.reserve(task)
+        self._log.write(
+            'serving_task_moved',
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            image=task.spec.image,
+            worker=source.worker_id,
+            target=target.worker_id,
+        )
+        self._orders.stop(task, 'moved to tasks of its kind')
+
+    def _movable(self, task: Task, now: timedelta) -> bool:
+        """Whether a stop leaves enough tasks of the step at work."""
+        run = task.run_of
+        return (
+            task.spec.serves
+            and task.spec.long_running
+            and task.spec.unavailable_limit > 0
+            and task not in self._moved_at
+            and run not in self._moves
+            and now - (task.started_at or now) >= SETTLED
+            and all(_at_work(each) and self._reached(each) for each in run.tasks)
+        )
+
+    def _reached(self, task: Task) -> bool:
+        worker = self._workers.get(task.worker or WorkerId(''))
+        return worker is not None and worker.live
+
+
+def _majority(worker: WorkerView) -> str:
+    """Returns the image that serves with the most processors; empty when none."""
+    claimed: Counter[str] = Counter()
+    for task in worker.tasks.values():
+        if task.spec.serves:
+            claimed[task.spec.image] += task.spec.demand.cpu_millicores
+    return claimed.most_common(1)[0][0] if claimed else ''
+
+
+def _at_work(task: Task) -> bool:
+    return task.state is TaskState.RUNNING and task.progress_percent == _FULL
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -134,6 +134,10 @@
         """Drops a job whose end is durable and of which nothing runs."""
         self.jobs.pop(job.job_id, None)
 
+    def fills_wait(self) -> bool:
+        """Tells whether filling tasks wait for room."""
+        return any(run.spec.fills for run in self.ready)
+
     def waiting(self) -> Counter[str]:
         """Returns the number of tasks that wait for a worker, by queue."""
         lengths: Counter[str] = Counter()
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Final
 
-from chiveworks.base import Clock, WorkerId, ZoneName
+from chiveworks.base import Clock, Resources, WorkerId, ZoneName
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
@@ -41,6 +41,11 @@
 #: claimed; below the 3 s for which a job may then have nothing running (the
 #: platform's rule on lost jobs).
 EXCESS_WAIT: Final = timedelta(milliseconds=2500)
+#: Longest wait for room that is kept on a worker, until the tasks that leave it have
+#: ended.
+RESERVED_WAIT: Final = timedelta(milliseconds=1500)
+#: Claims that are not there.
+NO_RESOURCES: Final = Resources()
 
 
 class Placer:
@@ -84,6 +89,10 @@
     def choose(self, task: Task, candidates: Sequence[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None when it fits nowhere."""
         waited = self._clock.monotonic() - task.waiting_since
+        if task.reserved is not None:
+            reserved = self._take_reservation(task, candidates)
+            if reserved is not None or waited < RESERVED_WAIT:
+                return reserved
         if task.spec.fills:
             patient = waited < EXCESS_WAIT or _half_used(candidates)
         else:
@@ -95,6 +104,40 @@
         ]
         return max(suitable, key=lambda worker: self._score(worker, task), default=None)
 
+    def open_workers(self) -> list[WorkerView]:
+        """Returns the workers that take tasks now."""
+        now = self._clock.monotonic()
+        return [
+            worker for worker in self._workers.values() if self._accepts(worker, now)
+        ]
+
+    def may_take(self, worker: WorkerView, task: Task) -> bool:
+        """Tells whether a task may run on a worker, room aside."""
+        label = task.spec.required_label
+        holder = self._workers.get(task.worker or WorkerId(''))
+        return (
+            holder is not None
+            and holder is not worker
+            and holder.info.service == worker.info.service
+            and (not label or label in worker.info.labels)
+            and not self._barred(worker, task)
+        )
+
+    def _take_reservation(
+        self, task: Task, candidates: Sequence[WorkerView]
+    ) -> WorkerView | None:
+        """Returns the worker that keeps room for a task, once the room is free."""
+        worker = self._workers.get(task.reserved or WorkerId(''))
+        if worker is None or worker not in candidates:
+            task.reserved = None
+            return None
+        worker.free_reservation(task)
+        if fits(worker, task.spec) and not self._barred(worker, task):
+            task.reserved = None
+            return worker
+        worker.reserve(task)
+        return None
+
     def better_place(self, worker: WorkerView, task: Task) -> bool:
         """Tells whether another worker could run a filling task undisturbed."""
         now = self._clock.monotonic()
@@ -204,9 +247,15 @@
     return (capacity - used - spec.demand.cpu_millicores) / capacity
 
 
-def fits(worker: WorkerView, spec: StepSpec) -> bool:
-    """Tells whether a worker has room for a task of a step."""
-    capacity, demand = worker.info.capacity, spec.demand
+def fits(worker: WorkerView, spec: StepSpec, without: Resources = NO_RESOURCES) -> bool:
+    """Tells whether a worker has room for a task of a step.
+
+    Args:
+        worker: The worker.
+        spec: Step of the task.
+        without: Claims on the worker that will be gone by then.
+    """
+    capacity, demand = worker.info.capacity, spec.demand - without
     if worker.room.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
         return False
     if worker.room.accelerators + demand.accelerators > capacity.accelerators:
--- a/chiveworks/dispatch/_pressure_model.py
+++ b/chiveworks/dispatch/_pressure_model.py
@@ -164,9 +164,25 @@
         )
         return sum(suitable) / len(fillings)
 
+    def differs(self, serving: str, other: str) -> bool:
+        """Tells whether some filling image disturbs one of two serving images only."""
+        if serving == other:
+            return False
+        beside = self.pressures_.get(other, {})
+        return any(
+            self._is_known(pressure)
+            and self._is_known(beside.get(filling))
+            and (pressure.weight < HARMFUL_WEIGHT)
+            is not (beside[filling].weight < HARMFUL_WEIGHT)
+            for filling, pressure in self.pressures_.get(serving, {}).items()
+        )
+
+    def _is_known(self, pressure: Pressure | None) -> bool:
+        return pressure is not None and pressure.variance <= KNOWN_WEIGHT_VARIANCE
+
     def _suitable_part(self, serving: str, filling: str) -> float:
         known = self.pressures_.get(serving, {}).get(filling)
-        if known is None or known.variance > KNOWN_WEIGHT_VARIANCE:
+        if known is None or not self._is_known(known):
             return HARMLESS_PART
         return float(known.weight < HARMFUL_WEIGHT)
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -11,6 +11,7 @@
 from chiveworks.dispatch._advice import AdviceDesk, Advisor
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
+from chiveworks.dispatch._consolidator import Consolidator
 from chiveworks.dispatch._drainer import Drainer
 from chiveworks.dispatch._fleet import Fleet
 from chiveworks.dispatch._health import WorkerHealth
@@ -110,6 +111,15 @@
         )
         self._stalls = StallWatch(clock, self.fleet.workers, self.orders, health)
         self._drainer = Drainer(clock, self.fleet.workers, self.orders)
+        self._consolidator = Consolidator(
+            clock,
+            log,
+            self.fleet.workers,
+            self.orders,
+            placer,
+            self.model,
+            self.table.fills_wait,
+        )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
     async def run(self) -> None:
@@ -243,6 +253,7 @@
                 self.table.requeue(task)
             self._drainer.check()
             self._stalls.check()
+            self._consolidator.check()
             self._forget_old(now)
             if now - published_at > PENDING_GAP:
                 published_at = now
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -24,6 +24,7 @@
         live: Whether the latest look was answered.
         tasks: Tasks that are claimed for it or run on it.
         room: What its tasks take of it.
+        reservations: Tasks for which room is kept until they are claimed.
         spare_headroom: Headroom that filling tasks together may take from serving
             tasks, by image.
         born_ms: Incarnation that answered last; 0 before the first answer.
@@ -44,6 +45,7 @@
         self.live = False
         self.tasks: dict[TaskRef, Task] = {}
         self.room = WorkerRoom()
+        self.reservations: dict[TaskRef, Task] = {}
         self.spare_headroom: dict[str, float] = {}
         self.born_ms = 0
         self.applied_end = 0
@@ -67,6 +69,17 @@
         if self.tasks.pop(task.ref, None) is not None:
             self.room.count(task, -1)
 
+    def reserve(self, task: Task) -> None:
+        """Keeps room for a task that still runs elsewhere."""
+        if task.ref not in self.reservations:
+            self.reservations[task.ref] = task
+            self.room.count(task, 1)
+
+    def free_reservation(self, task: Task) -> None:
+        """Gives up the room that was kept for a task."""
+        if self.reservations.pop(task.ref, None) is not None:
+            self.room.count(task, -1)
+
     def set_pace(self, task: Task, percent: int) -> None:
         """Notes the pace of a run; a paused one uses no processor time."""
         if task.spec.fills and task.ref in self.tasks:
--- /dev/null
+++ b/chiveworks/dispatch/tests/test_consolidator.py
@@ -0,0 +1,142 @@
+"""Which serving tasks are moved to workers of their kind."""
+
+from datetime import timedelta
+
+import pytest
+
+from chiveworks.base import JobId, ManualClock, Resources, WorkerId, ZoneName
+from chiveworks.dispatch import WorkerInfo
+from chiveworks.dispatch._consolidator import Consolidator
+from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._pressure import Pressure
+from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._worker_lease import WorkerLease
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.dispatch.tests.site import QUEUE, RecordingLog
+from chiveworks.workflow import Job, JobSpec, StepSpec, Submission, TaskState
+
+GIGABYTE = 1024**3
+LEASE = timedelta(seconds=6)
+
+
+class Fleet:
+    """Workers of 10 cores with serving tasks of 4 cores, and stops that are counted."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.clock.shift(timedelta(seconds=60))
+        self.model = PressureModel()
+        self.model.pressures_ = {
+            'fast': {'loud': Pressure(7, 0.1), 'calm': Pressure(1, 0.1)},
+            'quick': {'loud': Pressure(6, 0.1)},
+            'steady': {'loud': Pressure(1, 0.1), 'calm': Pressure(1, 0.1)},
+        }
+        self.workers = {}
+        self.stopped = []
+        placer = Placer(self.clock, self.workers, lambda zone: False, self.model)
+        self.consolidator = Consolidator(
+            self.clock,
+            RecordingLog(self.clock),
+            self.workers,
+            self,
+            placer,
+            self.model,
+            lambda: True,
+        )
+
+    def stop(self, task, _reason):
+        self.stopped.append((task.spec.image, task.worker, task.reserved))
+        task.state = TaskState.STOPPING
+
+    def worker(self, name, *images, limit=1):
+        """Adds a worker with one task for each image, each of a job of its own."""
+        capacity = Resources(10_000, 64 * GIGABYTE)
+        info = WorkerInfo(WorkerId(name), 'pool', name, ZoneName('z'), False, capacity)
+        worker = WorkerView(info, None, WorkerLease(LEASE, self.clock.monotonic()))
+        worker.live = True
+        worker.lease.hear(timedelta(), self.clock.monotonic())
+        self.workers[worker.worker_id] = worker
+        return [self._serve(worker, image, limit) for image in images]
+
+    def _serve(self, worker, image, limit):
+        spec = StepSpec(
+            1,
+            Resources(4000, GIGABYTE),
+            long_running=True,
+            image=image,
+            latency_target=timedelta(milliseconds=20),
+            unavailable_limit=limit,
+        )
+        name = f'{worker.worker_id}{len(worker.tasks)}'
+        submission = Submission(
+            JobId(name), QUEUE, JobSpec('', (spec,)), accepted_at=self.clock.now()
+        )
+        job = Job(submission, self.clock.monotonic())
+        task = job.open_occurrence(0)[0].tasks[0]
+        task.claim(worker.worker_id)
+        task.state = TaskState.RUNNING
+        task.started_at = self.clock.monotonic() - timedelta(seconds=10)
+        task.progress_percent = 100
+        worker.add(task)
+        return task
+
+    def check(self):
+        self.clock.shift(timedelta(seconds=1))
+        self.consolidator.check()
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_tasks_of_two_kinds_change_places(fleet):
+    """Guards against workers on which hardly any filling image is harmless."""
+    fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady', 'fast')
+    fleet.check()
+    assert sorted(fleet.stopped) == [('fast', 'w2', 'w1'), ('steady', 'w1', 'w2')]
+
+
+def test_a_task_moves_to_free_room(fleet):
+    """Guards against an exchange where a move is enough."""
+    fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady')
+    fleet.check()
+    assert fleet.stopped == [('steady', 'w1', 'w2')]
+    assert fleet.workers[WorkerId('w2')].room.cpu_millicores == 8000
+
+
+def test_images_that_the_same_tasks_disturb_stay_together(fleet):
+    """Guards against moves that open no worker to further filling tasks."""
+    fleet.worker('w1', 'fast', 'quick')
+    fleet.worker('w2', 'quick')
+    fleet.check()
+    assert not fleet.stopped
+
+
+def test_a_step_without_a_limit_of_absences_is_left_alone(fleet):
+    """Guards against stops that the platform's rule on availability forbids."""
+    fleet.worker('w1', 'fast', 'steady', limit=0)
+    fleet.worker('w2', 'steady', limit=0)
+    fleet.check()
+    assert not fleet.stopped
+
+
+def test_a_step_with_a_task_away_is_left_alone(fleet):
+    """Guards against a second task of a step that is away by our own doing."""
+    tasks = fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady')
+    tasks[1].progress_percent = 0
+    fleet.check()
+    assert not fleet.stopped
+
+
+def test_room_is_given_back_when_a_move_takes_too_long(fleet):
+    """Guards against room that stays reserved for a task that never comes."""
+    fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady')
+    fleet.check()
+    fleet.clock.shift(timedelta(seconds=5))
+    fleet.check()
+    assert fleet.workers[WorkerId('w2')].room.cpu_millicores == 4000
--- a/chiveworks/membership/_config_source.py
+++ b/chiveworks/membership/_config_source.py
@@ -8,7 +8,6 @@
 from chiveworks.catalogue import ConfigItem
 from chiveworks.membership._config_push import ConfigPush
 from chiveworks.membership._config_sync import ConfigSync
-from chiveworks.membership._paging import latest_by_key
 from chiveworks.membership._within import within
 from chiveworks.store import Store, StoreEntry, WatchEvent
 
@@ -50,7 +49,9 @@
         batch = answer.unwrap()
         if batch.compacted:
             return await self._list()
-        items = latest_by_key(map(_item_of_event, batch.events))
+        # Replaced items are kept: a push is split by revision, and a receiver of its
+        # first part alone would otherwise miss a change below the revision it claims.
+        items = tuple(map(_item_of_event, batch.events))
         self._sync.apply_changes(items, after, batch.revision)
         return Ok(ConfigPush(items, after, batch.revision))
 
