--- a/chiveworks/dispatch/_consolidator.py
+++ b/chiveworks/dispatch/_consolidator.py
@@ -180,12 +180,15 @@
         self._orders.stop(task, 'moved to tasks of its kind')
 
     def _movable(self, task: Task, now: timedelta) -> bool:
-        """Whether a stop leaves enough tasks of the step at work."""
+        """Whether all other tasks of the step are at work, and the task may move.
+
+        The least limit of absences that a step can state is one; a step without a
+        limit is treated alike.
+        """
         run = task.run_of
         return (
             task.spec.serves
             and task.spec.long_running
-            and task.spec.unavailable_limit > 0
             and task not in self._moved_at
             and run not in self._moves
             and now - (task.started_at or now) >= SETTLED
