--- a/chiveworks/membership/_peer_exchange.py
+++ b/chiveworks/membership/_peer_exchange.py
@@ -1,5 +1,7 @@
 """Exchanges with peers: what is told, what is asked and what is taken."""
 
+from dataclasses import replace
+
 from result import Err, Ok, Result
 
 from chiveworks.base import Clock, Failure, Revision, Step
@@ -99,15 +101,22 @@
             The peer's status in the last round.
         """
         offered: tuple[OwnerRecord, ...] = ()
+        page_start: Revision | None = None
+        since = self.sync.revision
         for _ in range(_MAX_ROUNDS):
-            request = ExchangeRequest(self.status(), owners=offered)
+            status = self.status()
+            if page_start is None:
+                since = status.revision
+            else:
+                status = replace(status, revision=page_start)
+            request = ExchangeRequest(status, owners=offered)
             answer = await self._exchange(address, request)
             if answer.is_err():
                 return answer.map(_status_of)
             reply = answer.unwrap()
             differs = reply.status.owners_digest != self.owners.digest
-            has_more = self._take_changes(request, reply)
-            if not has_more and (offered or not differs):
+            page_start = self._take_changes(request, reply, since)
+            if page_start is None and (offered or not differs):
                 break
             offered = () if offered else self.owners.records()
         return Ok(reply.status)
@@ -148,14 +157,37 @@
             self.directory.note_draining(reply.status.entry_id, reply.status.draining)
         return answer
 
-    def _take_changes(self, request: ExchangeRequest, reply: ExchangeReply) -> bool:
-        known = request.status.revision
+    def _take_changes(
+        self,
+        request: ExchangeRequest,
+        reply: ExchangeReply,
+        since: Revision | None = None,
+    ) -> Revision | None:
+        """Takes one page of changes.
+
+        Only the last page raises the revision: a change below the end of an earlier
+        one may have been replaced by an item of a later one.
+
+        Args:
+            request: What was asked; its revision is where the page starts.
+            reply: The answer.
+            since: Start of the first of the pages taken in a row; None for a page
+                that stands alone.
+
+        Returns:
+            Where the next page starts; None when there is none.
+        """
+        start = request.status.revision
         page, status = reply.page, reply.status
-        if known >= status.floor:
-            reached = min(page.next_after or status.revision, status.revision)
-            self.sync.apply_changes(page.items, known, reached)
+        next_start: Revision | None = None
+        if start >= status.floor:
+            after = start if since is None else since
+            reached = after if page.next_after else status.revision
+            self.sync.apply_changes(page.items, after, reached)
+            if page.next_after > start:
+                next_start = page.next_after
         self._note_progress(status)
-        return bool(page.next_after) and self.sync.revision > known
+        return next_start
 
     def _take_listing(self, items: list[ConfigItem], status: PeerStatus) -> None:
         self.sync.apply_listing(latest_by_key(items), status.revision)
