Take the answer to a stop for the run that was stopped, not for the next one

A stop was answered late by a leader at 1.48 cores, after the end of the run had been reported and the task had been claimed elsewhere; the answer then marked the new claim as confirmed, the next look at its worker did not list it yet, and a third run was claimed.

Ruled out: a change of leader (one process gave all orders), the classification of unanswered starts, leases.

Change: the answer counts only while the task is still being stopped with the same run number.

Test: test_a_late_answer_to_a_stop_says_nothing_of_the_next_run fails without the change. The stand-in worker can delay starts and the answers to stops.

The race needs a slow leader, but no site rules it out.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -158,8 +158,9 @@
                 return
             outcome = await worker.control.stop(task.ref, attempt, self._term.token)
             if outcome in _CERTAINLY_STOPPED:
-                # A look from now on lists the run, or it never will be there.
-                if task.started_at is None:
+                # A look from now on lists the run, or it never will be there. The
+                # task may have another run by now, of which this says nothing.
+                if _still(task, attempt, TaskState.STOPPING) and not task.started_at:
                     task.started_at = self._clock.monotonic()
                 return
             if outcome is OrderOutcome.FENCED:
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -143,6 +143,23 @@
     assert len(site.starts()) == 2
 
 
+async def test_a_late_answer_to_a_stop_says_nothing_of_the_next_run(site):
+    """Guards against a run that is believed to be gone because it is not listed yet,
+    when the answer to the stop of the run before it comes after its claim."""
+    site.add_worker('w2')
+    await start(site)
+    for runner in site.runners.values():
+        runner._duration = timedelta(seconds=30)
+        runner.stop_answer_delay = timedelta(milliseconds=200)
+    await site.submit('j', StepSpec(1, CORE))
+    name = next(n for n, runner in site.runners.items() if runner.running)
+    for runner in site.runners.values():
+        runner.start_delay = timedelta(seconds=3)
+    site.change_worker(name, draining=True, remaining=timedelta(seconds=0.5))
+    await site.wait(8)
+    assert len(site.starts()) == 2
+
+
 async def test_nothing_starts_in_an_evacuated_zone(site):
     """Guards against starts in a zone that operators have taken out."""
     await start(site)
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -42,6 +42,8 @@
         reachable: Whether calls are answered and carried out.
         lose_orders: Number of starts that are carried out and not answered.
         fails: Whether runs end as failed.
+        start_delay: Time until a start is carried out.
+        stop_answer_delay: Time until a stop that was carried out is answered.
         stalls: Whether runs make no progress and do not end.
         history: Starts and ends of runs in order, for checks.
     """
@@ -49,6 +51,8 @@
     def __init__(self, clock: Clock, duration: timedelta = RUN_TIME) -> None:
         self.reachable = True
         self.lose_orders = 0
+        self.start_delay = timedelta()
+        self.stop_answer_delay = timedelta()
         self.fails = False
         self.stalls = False
         self.history: list[tuple[str, TaskRef, int]] = []
@@ -66,6 +70,8 @@
         """Starts a run."""
         if not self.reachable:
             return OrderOutcome.UNKNOWN
+        if self.start_delay:
+            await self._clock.sleep(self.start_delay)
         outcome = self._start(order)
         if self.lose_orders:
             self.lose_orders -= 1
@@ -83,6 +89,8 @@
         run = self._runs.get(ref)
         if run is not None and run.attempt == attempt:
             self._end(ref, EndKind.STOPPED)
+        if self.stop_answer_delay:
+            await self._clock.sleep(self.stop_answer_delay)
         return OrderOutcome.ACCEPTED
 
     async def set_pace(
