--- a/chiveworks/base/__init__.py
+++ b/chiveworks/base/__init__.py
@@ -1,5 +1,6 @@
 """Types shared by all topics: ids, states, resources, clock, failures."""
 
+from chiveworks.base._cancellation import cancel_all
 from chiveworks.base._checks import check_duration, check_positive, check_share
 from chiveworks.base._clock import Clock
 from chiveworks.base._failure import Failure
@@ -53,6 +54,7 @@
     'Verdict',
     'WorkerId',
     'ZoneName',
+    'cancel_all',
     'check_duration',
     'check_positive',
     'check_share',
--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from chiveworks.base import Clock, JobId
+from chiveworks.base import Clock, JobId, cancel_all
 from chiveworks.dispatch._scheduler import Scheduler
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.events import EventLog
@@ -85,9 +85,7 @@
             await scheduler.run()
         finally:
             self.scheduler = None
-            for keeper in keepers:
-                keeper.cancel()
-            await asyncio.gather(*keepers, return_exceptions=True)
+            await cancel_all(keepers)
 
     async def _recover(
         self, term: Term, scheduler: Scheduler
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from chiveworks.base import Clock, JobId, ZoneName
+from chiveworks.base import Clock, JobId, ZoneName, cancel_all
 from chiveworks.dispatch._advice import AdviceDesk, Advisor
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
@@ -124,9 +124,9 @@
 
     async def run(self) -> None:
         """Schedules until the term is lost."""
-        writer = self._spawn(self._write())
-        ticker = self._spawn(self._tick())
-        advice = self._spawn(self._desk.run())
+        self._spawn(self._write())
+        self._spawn(self._tick())
+        self._spawn(self._desk.run())
         try:
             while self._term.valid:
                 await self._wake.wait()
@@ -134,10 +134,9 @@
                 self._assign()
                 await self._clock.sleep(ROUND_GAP)
         finally:
-            await self._stop_children()
-        writer.cancel()
-        ticker.cancel()
-        advice.cancel()
+            # A child that ends may have started another one.
+            while self._children:
+                await cancel_all(tuple(self._children))
 
     def accept(self, submission: Submission, progress: bytes | None = None) -> None:
         """Takes a job in, or the cancelling of one that is known."""
@@ -231,12 +230,6 @@
             self._log.write('child_failed', error=repr(error))
             self._term.end(f'a part of the scheduler failed: {error!r}')
 
-    async def _stop_children(self) -> None:
-        children = tuple(self._children)
-        for child in children:
-            child.cancel()
-        await asyncio.gather(*children, return_exceptions=True)
-
     async def _write(self) -> None:
         with contextlib.suppress(TermLostError):
             await self.writer.run()
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -1,11 +1,13 @@
 """Jobs from submission to their end, with failures in between."""
 
+import asyncio
 from collections import Counter
 from datetime import timedelta
 
 import pytest
+from result import Err
 
-from chiveworks.base import JobId, Resources
+from chiveworks.base import Failure, JobId, Resources, Step
 from chiveworks.dispatch.tests.site import Site
 from chiveworks.intake import IntakeVerdict
 from chiveworks.workflow import JobState, QueuePolicy, StepSpec
@@ -160,6 +162,38 @@
     assert len(site.starts()) == 2
 
 
+async def test_a_process_leads_again_after_a_call_took_its_cancellation(site):
+    """Guards against a former leader that waits without end for its sessions and
+    never contends again: an HTTP client may take a cancellation for a timeout."""
+    await start(site)
+    for runner in site.runners.values():
+        _swallow_one_cancellation(runner)
+    site.store.faults.refuse = True
+    await site.wait(3)
+    site.store.faults.refuse = False
+    await asyncio.sleep(0.3)
+    await site.wait(3)
+    assert len(site.log.named('leadership_gained')) == 2
+    await site.submit('j', StepSpec(1, CORE))
+    await site.wait(2)
+    assert await site.state('j') is JobState.COMPLETED
+
+
+def _swallow_one_cancellation(runner):
+    hold, swallowed = runner.hold, []
+
+    async def hold_once(*args):
+        try:
+            return await hold(*args)
+        except asyncio.CancelledError:
+            if swallowed:
+                raise
+            swallowed.append(1)
+            return Err(Failure.unknown(Step.RENEW, 'runner', 'timeout'))
+
+    runner.hold = hold_once
+
+
 async def test_nothing_starts_in_an_evacuated_zone(site):
     """Guards against starts in a zone that operators have taken out."""
     await start(site)
--- a/chiveworks/entry/_entry_process.py
+++ b/chiveworks/entry/_entry_process.py
@@ -9,7 +9,7 @@
 
 from result import Err
 
-from chiveworks.base import RackName, SystemClock, ZoneName
+from chiveworks.base import RackName, SystemClock, ZoneName, cancel_all
 from chiveworks.entry import _translate_settings as translate
 from chiveworks.entry._collector import calm_collector
 from chiveworks.entry._create_app import create_app
@@ -146,7 +146,7 @@
         """Runs a loop for as long as the process; its failure stops the process."""
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
         task.add_done_callback(self._note_end)
-        stack.push_async_callback(_cancel, task)
+        stack.push_async_callback(cancel_all, [task])
 
     def _note_end(self, task: 'asyncio.Task[None]') -> None:
         if task.cancelled() or task.exception() is None:
@@ -175,10 +175,5 @@
     await candidate.run()
 
 
-async def _cancel(task: 'asyncio.Task[None]') -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
 def _log_listening(port: int) -> None:
     _LOG.info('listening on port %d', port)
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from chiveworks.base import SystemClock, ZoneName
+from chiveworks.base import SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMeter
 from chiveworks.intake import JobIntake, QueueCatalogue
@@ -93,7 +93,7 @@
                 asyncio.create_task(self._election.leader.run()),
             ]
             leading = asyncio.create_task(self._leader.run())
-            stack.push_async_callback(_cancel, leading, *followers)
+            stack.push_async_callback(cancel_all, [leading, *followers])
             await self._listen(stack)
             await self._stopping.wait()
             await self._drain(leading)
@@ -122,8 +122,7 @@
 
     async def _drain(self, leading: 'asyncio.Task[None]') -> None:
         self._log.write('process_stopping')
-        leading.cancel()
-        await asyncio.gather(leading, return_exceptions=True)
+        await cancel_all([leading])
         await self._leader.resign()
         await self._clock.sleep(DRAIN)
 
@@ -188,9 +187,3 @@
 
     def _evacuated(self, zone: ZoneName) -> bool:
         return EVACUATION_PREFIX + zone in self._operators.entries
-
-
-async def _cancel(*tasks: 'asyncio.Task[None]') -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/chiveworks/scheduler/_background.py
+++ b/chiveworks/scheduler/_background.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Coroutine
 
+from chiveworks.base import cancel_all
+
 
 class Background:
     """Starts tasks in the tenure's task group; a failure in one ends them all."""
@@ -20,7 +22,4 @@
 
     async def stop(self) -> None:
         """Cancels all tasks started here and waits for their end."""
-        running = tuple(self._tasks)
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+        await cancel_all(tuple(self._tasks))
