Rate workers once for the tasks of a step

A round of claims rated every worker for every task.

Ruled out: the store (its calls took as long as ever), room kept for moves.

Change: the workers are rated once for a step and kept in a heap; only the one that a task was claimed for is rated anew. What serving tasks can spare is kept until something changes on the worker; the list of open workers lasts for a round. After a long round the scheduler pauses for as long, so that renewals and reports are not held up.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -8,6 +8,7 @@
 from chiveworks.dispatch._advice import AdviceDesk
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._ranking import Ranking
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.workflow import Job, StepRun, StepSpec, Task
@@ -107,18 +108,28 @@
         self, waiting: list[Task], workers: list[WorkerView], *, whole: bool
     ) -> list[Task]:
         claimed: list[Task] = []
+        ranking = self._placer.rank(waiting[0], workers)
         for task in waiting:
-            worker = self._placer.choose(task, workers)
-            if worker is None:
+            worker = self._choose(task, workers, ranking)
+            if worker is not None:
+                task.claim(worker.worker_id)
+                worker.add(task)
+                ranking.refresh(worker)
+                claimed.append(task)
+            elif not task.reserved:
                 break
-            task.claim(worker.worker_id)
-            worker.add(task)
-            claimed.append(task)
         if whole and len(claimed) < len(waiting):
             self._unclaim(claimed)
             return []
         return claimed
 
+    def _choose(
+        self, task: Task, workers: list[WorkerView], ranking: Ranking
+    ) -> WorkerView | None:
+        if task.reserved or task.avoided:
+            return self._placer.choose(task, workers)
+        return ranking.best(task)
+
     def _log_claim(self, task: Task) -> None:
         worker = self._placer.worker_of(task)
         job = task.run_of.job
--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -60,9 +60,10 @@
         serving = [task for task in worker.tasks.values() if _serves(task)]
         loads = _loads(worker, fills)
         now = self._clock.monotonic()
-        worker.spare_headroom = {}
+        spare: dict[str, float] = {}
         for served in serving:
-            self._learn(worker, served, loads, now)
+            self._learn(served, loads, now, spare)
+        worker.note_spare(spare)
         if not fills:
             return False
         expected = {each: self._expected(each, loads) for each in serving}
@@ -81,16 +82,16 @@
 
     def _learn(
         self,
-        worker: WorkerView,
         task: Task,
         loads: dict[str, float],
         now: timedelta,
+        spare: dict[str, float],
     ) -> None:
+        """Learns from one task, and lowers what its image can spare to that."""
         image = task.spec.image
         self._model.partial_fit(task.ref, image, loads, _headroom(task), now)
-        spare = self._model.base(task.ref, image, AHEAD) - KEPT_HEADROOM
-        known = worker.spare_headroom.get(image, spare)
-        worker.spare_headroom[image] = min(known, spare)
+        left = self._model.base(task.ref, image, AHEAD) - KEPT_HEADROOM
+        spare[image] = min(spare.get(image, left), left)
 
     def _expected(self, task: Task, loads: dict[str, float]) -> float:
         """Returns the headroom that a task is about to have."""
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from operator import itemgetter
 from typing import Final
 
 from chiveworks.base import Clock, Resources, WorkerId, ZoneName
 from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._ranking import Ranking
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
 
@@ -44,6 +46,9 @@
 #: Longest wait for room that is kept on a worker, until the tasks that leave it have
 #: ended.
 RESERVED_WAIT: Final = timedelta(milliseconds=1500)
+#: Age up to which the list of workers that take tasks serves; one round of claims
+#: asks for it once a step.
+OPEN_AGE: Final = timedelta(milliseconds=5)
 #: Claims that are not there.
 NO_RESOURCES: Final = Resources()
 
@@ -69,17 +74,18 @@
         self._workers = workers
         self._evacuated = evacuated
         self._model = model
+        self._open: list[WorkerView] = []
+        self._opened_at = -2 * OPEN_AGE
+        self._left: dict[WorkerId, tuple[int, dict[str, float]]] = {}
 
     def candidates(self, run: StepRun, service: str) -> list[WorkerView]:
         """Returns the workers on which tasks of a step may start now."""
-        now = self._clock.monotonic()
-        spec = run.spec
+        label = run.spec.required_label
         return [
             worker
-            for worker in self._workers.values()
+            for worker in self.open_workers()
             if worker.info.service == service
-            and self._accepts(worker, now)
-            and (not spec.required_label or spec.required_label in worker.info.labels)
+            and (not label or label in worker.info.labels)
         ]
 
     def worker_of(self, task: Task) -> WorkerView | None:
@@ -93,23 +99,30 @@
             reserved = self._take_reservation(task, candidates)
             if reserved is not None or waited < RESERVED_WAIT:
                 return reserved
-        if task.spec.fills:
-            patient = waited < EXCESS_WAIT or _half_used(candidates)
-        else:
-            patient = waited < RACK_WAIT
-        suitable = [
-            worker
+        rate = self._rating(task, candidates)
+        rated = (
+            (rating - AVOIDED_PENALTY * (worker.worker_id in task.avoided), worker)
             for worker in candidates
-            if self._suits(worker, task, patient=patient)
-        ]
-        return max(suitable, key=lambda worker: self._score(worker, task), default=None)
+            if task.ref not in worker.tasks and (rating := rate(worker)) is not None
+        )
+        best = max(rated, key=itemgetter(0), default=None)
+        return best[1] if best else None
+
+    def rank(self, task: Task, candidates: Sequence[WorkerView]) -> Ranking:
+        """Returns the workers for the tasks of a step that have waited like `task`."""
+        return Ranking(candidates, self._rating(task, candidates))
 
     def open_workers(self) -> list[WorkerView]:
         """Returns the workers that take tasks now."""
         now = self._clock.monotonic()
-        return [
-            worker for worker in self._workers.values() if self._accepts(worker, now)
-        ]
+        if now - self._opened_at > OPEN_AGE:
+            self._opened_at = now
+            self._open = [
+                worker
+                for worker in self._workers.values()
+                if self._accepts(worker, now)
+            ]
+        return self._open
 
     def may_take(self, worker: WorkerView, task: Task) -> bool:
         """Tells whether a task may run on a worker, room aside."""
@@ -140,15 +153,13 @@
 
     def better_place(self, worker: WorkerView, task: Task) -> bool:
         """Tells whether another worker could run a filling task undisturbed."""
-        now = self._clock.monotonic()
         return any(
             other is not worker
             and other.info.service == worker.info.service
-            and self._accepts(other, now)
             and fits(other, task.spec)
             and not self._barred(other, task)
             and self._undisturbed(other, task.spec)
-            for other in self._workers.values()
+            for other in self.open_workers()
         )
 
     def _accepts(self, worker: WorkerView, now: timedelta) -> bool:
@@ -161,34 +172,48 @@
             and not self._evacuated(worker.info.zone)
         )
 
-    def _suits(self, worker: WorkerView, task: Task, *, patient: bool) -> bool:
-        spec = task.spec
-        if not fits(worker, spec) or self._barred(worker, task):
-            return False
-        if patient and spec.fills:
-            return self._undisturbed(worker, spec)
-        return not (patient and spec.data_rack and spec.data_rack != worker.info.rack)
+    def _rating(
+        self, task: Task, candidates: Sequence[WorkerView]
+    ) -> Callable[[WorkerView], float | None]:
+        """Returns how a worker is rated for a task, or another one of its step."""
+        run, spec = task.run_of, task.spec
+        waited = self._clock.monotonic() - task.waiting_since
+        if spec.fills:
+            patient = waited < EXCESS_WAIT or _half_used(candidates)
+        else:
+            patient = waited < RACK_WAIT
 
-    def _barred(self, worker: WorkerView, task: Task) -> bool:
-        spec = task.spec
-        if task.ref in worker.tasks:
-            return True
-        limit = spec.worker_limit
-        return limit > 0 and _same_step(worker, task) >= limit
-
-    def _score(self, worker: WorkerView, task: Task) -> float:
-        spec = task.spec
-        score = _room_left(worker, spec)
+        def rate(worker: WorkerView) -> float | None:
+            if not fits(worker, spec) or _limit_reached(worker, run):
+                return None
+            if spec.fills:
+                return self._rate_filling(worker, spec, patient=patient)
+            remote = bool(spec.data_rack) and spec.data_rack != worker.info.rack
+            if patient and remote:
+                return None
+            return self._rate_claiming(worker, spec) - REMOTE_PENALTY * remote
+
+        return rate
+
+    def _rate_filling(
+        self, worker: WorkerView, spec: StepSpec, *, patient: bool
+    ) -> float | None:
+        room_left = _room_left(worker, spec)
+        excess, taken = self._interference(worker, spec)
+        if patient and (room_left < -OVERCOMMIT or excess > EXCESS_LIMIT):
+            return None
+        remote = bool(spec.data_rack) and spec.data_rack != worker.info.rack
+        penalty = LOSS_PENALTY * excess + TAKEN_PENALTY * taken
+        return room_left - penalty - REMOTE_PENALTY * remote
+
+    def _rate_claiming(self, worker: WorkerView, spec: StepSpec) -> float:
+        room_left = _room_left(worker, spec)
         if spec.serves:
-            score = self._serving_score(worker, spec, score)
-        if spec.data_rack and spec.data_rack != worker.info.rack:
-            score -= REMOTE_PENALTY
-        if worker.worker_id in task.avoided:
-            score -= AVOIDED_PENALTY
-        if spec.fills:
-            score -= LOSS_PENALTY * self._excess_loss(worker, spec)
-            score -= TAKEN_PENALTY * self._taken(worker, spec)
-        return score
+            return self._serving_score(worker, spec, room_left)
+        return room_left
+
+    def _barred(self, worker: WorkerView, task: Task) -> bool:
+        return task.ref in worker.tasks or _limit_reached(worker, task.run_of)
 
     def _serving_score(
         self, worker: WorkerView, spec: StepSpec, room_left: float
@@ -207,31 +232,42 @@
         """Whether a filling task gets the processors it asks for and harms nobody."""
         if _room_left(worker, spec) < -OVERCOMMIT:
             return False
-        return self._excess_loss(worker, spec) <= EXCESS_LIMIT
+        return self._interference(worker, spec)[0] <= EXCESS_LIMIT
 
-    def _excess_loss(self, worker: WorkerView, spec: StepSpec) -> float:
-        """Returns by how much a serving task would lose too much headroom."""
-        capacity = worker.info.capacity.cpu_millicores or 1
+    def _interference(self, worker: WorkerView, spec: StepSpec) -> tuple[float, float]:
+        """Returns what a filling task would take from serving ones.
+
+        Returns:
+            By how much a serving task would lose too much headroom, and the greatest
+            headroom that the filling task alone would take.
+        """
+        share = spec.demand.cpu_millicores / (worker.info.capacity.cpu_millicores or 1)
         excess: float = 0
+        taken: float = 0
+        for serving, left in self._headroom_left(worker).items():
+            loss = self._weight(serving, spec.image) * share
+            taken = max(taken, loss)
+            excess = max(excess, loss - left)
+        return excess, taken
+
+    def _headroom_left(self, worker: WorkerView) -> dict[str, float]:
+        """Returns what the serving images can spare beside the filling tasks."""
+        known = self._left.get(worker.worker_id)
+        if known is not None and known[0] == worker.version:
+            return known[1]
+        capacity = worker.info.capacity.cpu_millicores or 1
+        left = {}
         for serving in worker.room.serving_images:
-            loss = self._weight(serving, spec.image) * spec.demand.cpu_millicores
-            loss += sum(
-                self._weight(serving, filling) * millicores
-                for filling, millicores in worker.room.filling_images.items()
-            )
             spare = worker.spare_headroom.get(serving)
             if spare is None:
                 spare = self._model.floor(serving) - KEPT_HEADROOM
-            excess = max(excess, loss / capacity - spare)
-        return excess
-
-    def _taken(self, worker: WorkerView, spec: StepSpec) -> float:
-        """Returns the greatest headroom that a task would take from a serving one."""
-        capacity = worker.info.capacity.cpu_millicores or 1
-        weights = (
-            self._weight(serving, spec.image) for serving in worker.room.serving_images
-        )
-        return max(weights, default=0) * spec.demand.cpu_millicores / capacity
+            taken = sum(
+                self._weight(serving, filling) * millicores
+                for filling, millicores in worker.room.filling_images.items()
+            )
+            left[serving] = spare - taken / capacity
+        self._left[worker.worker_id] = (worker.version, left)
+        return left
 
     def _weight(self, serving: str, filling: str) -> float:
         return self._model.cautious_weight(serving, filling)
@@ -268,8 +304,11 @@
     return worker.room.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
 
 
-def _same_step(worker: WorkerView, task: Task) -> int:
-    return sum(other.run_of is task.run_of for other in worker.tasks.values())
+def _limit_reached(worker: WorkerView, run: StepRun) -> bool:
+    limit = run.spec.worker_limit
+    if not limit:
+        return False
+    return sum(other.run_of is run for other in worker.tasks.values()) >= limit
 
 
 def _half_used(workers: Sequence[WorkerView]) -> bool:
--- /dev/null
+++ b/chiveworks/dispatch/_ranking.py
@@ -0,0 +1,56 @@
+"""Workers that suit the tasks of a step, best first."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from chiveworks.base import WorkerId
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.workflow import Task
+
+
+class Ranking:
+    """Rates each worker once, and again after a claim.
+
+    Args:
+        workers: Workers that may be chosen.
+        rate: Returns how well a worker suits any task of the step; None when it does
+            not.
+    """
+
+    def __init__(
+        self,
+        workers: Sequence[WorkerView],
+        rate: Callable[[WorkerView], float | None],
+    ) -> None:
+        self._rate = rate
+        self._ratings: Counter[WorkerId] = Counter()
+        self._heap: list[tuple[float, WorkerId, int, WorkerView]] = []
+        for worker in workers:
+            self.refresh(worker)
+
+    def best(self, task: Task) -> WorkerView | None:
+        """Returns the best worker that does not hold a run of the task already."""
+        skipped = []
+        found = None
+        while self._heap and found is None:
+            entry = self._heap[0]
+            _rating, worker_id, number, worker = entry
+            if number != self._ratings[worker_id]:
+                heapq.heappop(self._heap)
+            elif task.ref in worker.tasks:
+                skipped.append(heapq.heappop(self._heap))
+            else:
+                found = worker
+        for entry in skipped:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def refresh(self, worker: WorkerView) -> None:
+        """Rates a worker anew after a claim."""
+        worker_id = worker.worker_id
+        self._ratings[worker_id] += 1
+        rating = self._rate(worker)
+        if rating is not None:
+            entry = (-rating, worker_id, self._ratings[worker_id], worker)
+            heapq.heappush(self._heap, entry)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -44,7 +44,8 @@
 PENDING_GAP: Final = timedelta(milliseconds=700)
 #: How often what was learned of interference is stored for a later leader.
 PRESSURE_GAP: Final = timedelta(seconds=3)
-#: Least time between two rounds of assignment.
+#: Least time between two rounds of assignment; after a long round it is as long as
+#: the round, so that reports and renewals are not held up.
 ROUND_GAP: Final = timedelta(milliseconds=4)
 
 
@@ -131,8 +132,10 @@
             while self._term.valid:
                 await self._wake.wait()
                 self._wake.clear()
+                began_at = self._clock.monotonic()
                 self._assign()
-                await self._clock.sleep(ROUND_GAP)
+                took = self._clock.monotonic() - began_at
+                await self._clock.sleep(max(ROUND_GAP, took))
         finally:
             # A child that ends may have started another one.
             while self._children:
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -27,6 +27,7 @@
         reservations: Tasks for which room is kept until they are claimed.
         spare_headroom: Headroom that filling tasks together may take from serving
             tasks, by image.
+        version: Number of the latest change of the room or of `spare_headroom`.
         born_ms: Incarnation that answered last; 0 before the first answer.
         applied_end: Number of the last end that was applied.
         acknowledged: Number of the last end whose effect is durable.
@@ -46,6 +47,7 @@
         self.tasks: dict[TaskRef, Task] = {}
         self.room = WorkerRoom()
         self.reservations: dict[TaskRef, Task] = {}
+        self.version = 0
         self.spare_headroom: dict[str, float] = {}
         self.born_ms = 0
         self.applied_end = 0
@@ -62,31 +64,37 @@
     def add(self, task: Task) -> None:
         """Takes room for a run."""
         self.tasks[task.ref] = task
-        self.room.count(task, 1)
+        self._count(task, 1)
 
     def remove(self, task: Task) -> None:
         """Frees the room of a run that has certainly ended."""
         if self.tasks.pop(task.ref, None) is not None:
-            self.room.count(task, -1)
+            self._count(task, -1)
 
     def reserve(self, task: Task) -> None:
         """Keeps room for a task that still runs elsewhere."""
         if task.ref not in self.reservations:
             self.reservations[task.ref] = task
-            self.room.count(task, 1)
+            self._count(task, 1)
 
     def free_reservation(self, task: Task) -> None:
         """Gives up the room that was kept for a task."""
         if self.reservations.pop(task.ref, None) is not None:
-            self.room.count(task, -1)
+            self._count(task, -1)
 
     def set_pace(self, task: Task, percent: int) -> None:
         """Notes the pace of a run; a paused one uses no processor time."""
         if task.spec.fills and task.ref in self.tasks:
             works = int(percent != 0) - int(task.pace_percent != 0)
             self.room.count_filling(task, works)
+            self.version += 1
         task.pace_percent = percent
 
+    def note_spare(self, spare_headroom: dict[str, float]) -> None:
+        """Takes what serving tasks can spare, by image."""
+        self.spare_headroom = spare_headroom
+        self.version += 1
+
     def acknowledge(self) -> int:
         """Returns the number up to which all ends have durable effects."""
         pending = self.unacknowledged
@@ -102,6 +110,10 @@
         self.unacknowledged.clear()
         self.lease.restart(now)
 
+    def _count(self, task: Task, sign: int) -> None:
+        self.room.count(task, sign)
+        self.version += 1
+
 
 def _durable(job: Job | None, version: int) -> bool:
     return job is None or job.durable_version >= version
