Split what the placer had grown into

Whether a task fits is in _room_checks.py, what a filling task would take from serving ones in _interference_forecast.py; no decision changes.

--- a/chiveworks/dispatch/_consolidator.py
+++ b/chiveworks/dispatch/_consolidator.py
@@ -8,8 +8,9 @@
 
 from chiveworks.base import Clock, WorkerId
 from chiveworks.dispatch._orders import Orders
-from chiveworks.dispatch._placer import Placer, fits
+from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._pressure_model import PressureModel
+from chiveworks.dispatch._room_checks import fits
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.workflow import StepRun, Task, TaskState
--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -4,8 +4,9 @@
 from typing import Final
 
 from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._interference_forecast import KEPT_HEADROOM
 from chiveworks.dispatch._orders import Orders
-from chiveworks.dispatch._placer import KEPT_HEADROOM, Placer
+from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import Task, TaskState
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -5,14 +5,19 @@
 from operator import itemgetter
 from typing import Final
 
-from chiveworks.base import Clock, Resources, WorkerId, ZoneName
+from chiveworks.base import Clock, WorkerId, ZoneName
+from chiveworks.dispatch._interference_forecast import InterferenceForecast
 from chiveworks.dispatch._pressure_model import PressureModel
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._room_checks import (
+    fits,
+    half_used,
+    limit_reached,
+    share_left,
+)
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
 
-#: Share of their reserved processor time that serving tasks use on average.
-SERVING_USE: Final = 0.5
 #: Penalty, in shares of a worker, for a rack other than that of the data.
 REMOTE_PENALTY: Final = 2.0
 #: Penalty for a worker on which the task has failed before.
@@ -22,8 +27,6 @@
 MIXED_IMAGES_PENALTY: Final = 6.0
 #: Preference for a worker on which the same image serves already.
 SAME_IMAGE_BONUS: Final = 1.0
-#: Headroom that placement leaves to a serving task while a filling task runs.
-KEPT_HEADROOM: Final = 1.15
 #: Penalty for each unit of headroom that a filling task takes from serving tasks.
 TAKEN_PENALTY: Final = 0.5
 #: Penalty for each unit of headroom lost beyond what is allowed.
@@ -34,8 +37,6 @@
 #: is left: tasks that are being started, restored or ended use none, and reports
 #: show half of what is claimed in use.
 OVERCOMMIT: Final = 0.3
-#: Share of a worker's memory that filling tasks leave free.
-MEMORY_KEPT: Final = 0.12
 #: Longest wait of other tasks for the rack of their data: elsewhere they take
 #: several times as long.
 RACK_WAIT: Final = timedelta(seconds=1)
@@ -49,8 +50,6 @@
 #: Age up to which the list of workers that take tasks serves; one round of claims
 #: asks for it once a step.
 OPEN_AGE: Final = timedelta(milliseconds=5)
-#: Claims that are not there.
-NO_RESOURCES: Final = Resources()
 
 
 class Placer:
@@ -76,7 +75,7 @@
         self._model = model
         self._open: list[WorkerView] = []
         self._opened_at = -2 * OPEN_AGE
-        self._left: dict[WorkerId, tuple[int, dict[str, float]]] = {}
+        self._forecast = InterferenceForecast(model)
 
     def candidates(self, run: StepRun, service: str) -> list[WorkerView]:
         """Returns the workers on which tasks of a step may start now."""
@@ -179,12 +178,12 @@
         run, spec = task.run_of, task.spec
         waited = self._clock.monotonic() - task.waiting_since
         if spec.fills:
-            patient = waited < EXCESS_WAIT or _half_used(candidates)
+            patient = waited < EXCESS_WAIT or half_used(candidates)
         else:
             patient = waited < RACK_WAIT
 
         def rate(worker: WorkerView) -> float | None:
-            if not fits(worker, spec) or _limit_reached(worker, run):
+            if not fits(worker, spec) or limit_reached(worker, run):
                 return None
             if spec.fills:
                 return self._rate_filling(worker, spec, patient=patient)
@@ -198,8 +197,8 @@
     def _rate_filling(
         self, worker: WorkerView, spec: StepSpec, *, patient: bool
     ) -> float | None:
-        room_left = _room_left(worker, spec)
-        excess, taken = self._interference(worker, spec)
+        room_left = share_left(worker, spec)
+        excess, taken = self._forecast.effect(worker, spec)
         if patient and (room_left < -OVERCOMMIT or excess > EXCESS_LIMIT):
             return None
         remote = bool(spec.data_rack) and spec.data_rack != worker.info.rack
@@ -207,13 +206,13 @@
         return room_left - penalty - REMOTE_PENALTY * remote
 
     def _rate_claiming(self, worker: WorkerView, spec: StepSpec) -> float:
-        room_left = _room_left(worker, spec)
+        room_left = share_left(worker, spec)
         if spec.serves:
             return self._serving_score(worker, spec, room_left)
         return room_left
 
     def _barred(self, worker: WorkerView, task: Task) -> bool:
-        return task.ref in worker.tasks or _limit_reached(worker, task.run_of)
+        return task.ref in worker.tasks or limit_reached(worker, task.run_of)
 
     def _serving_score(
         self, worker: WorkerView, spec: StepSpec, room_left: float
@@ -230,87 +229,6 @@
 
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
         """Whether a filling task gets the processors it asks for and harms nobody."""
-        if _room_left(worker, spec) < -OVERCOMMIT:
+        if share_left(worker, spec) < -OVERCOMMIT:
             return False
-        return self._interference(worker, spec)[0] <= EXCESS_LIMIT
-
-    def _interference(self, worker: WorkerView, spec: StepSpec) -> tuple[float, float]:
-        """Returns what a filling task would take from serving ones.
-
-        Returns:
-            By how much a serving task would lose too much headroom, and the greatest
-            headroom that the filling task alone would take.
-        """
-        share = spec.demand.cpu_millicores / (worker.info.capacity.cpu_millicores or 1)
-        excess: float = 0
-        taken: float = 0
-        for serving, left in self._headroom_left(worker).items():
-            loss = self._weight(serving, spec.image) * share
-            taken = max(taken, loss)
-            excess = max(excess, loss - left)
-        return excess, taken
-
-    def _headroom_left(self, worker: WorkerView) -> dict[str, float]:
-        """Returns what the serving images can spare beside the filling tasks."""
-        known = self._left.get(worker.worker_id)
-        if known is not None and known[0] == worker.version:
-            return known[1]
-        capacity = worker.info.capacity.cpu_millicores or 1
-        left = {}
-        for serving in worker.room.serving_images:
-            spare = worker.spare_headroom.get(serving)
-            if spare is None:
-                spare = self._model.floor(serving) - KEPT_HEADROOM
-            taken = sum(
-                self._weight(serving, filling) * millicores
-                for filling, millicores in worker.room.filling_images.items()
-            )
-            left[serving] = spare - taken / capacity
-        self._left[worker.worker_id] = (worker.version, left)
-        return left
-
-    def _weight(self, serving: str, filling: str) -> float:
-        return self._model.cautious_weight(serving, filling)
-
-
-def _room_left(worker: WorkerView, spec: StepSpec) -> float:
-    """Returns the share of a worker's processors that is left after a start."""
-    capacity = worker.info.capacity.cpu_millicores or 1
-    used: float = worker.room.cpu_millicores
-    if spec.fills:
-        used -= (1 - SERVING_USE) * worker.room.serving_millicores
-        used += worker.room.fill_millicores
-    return (capacity - used - spec.demand.cpu_millicores) / capacity
-
-
-def fits(worker: WorkerView, spec: StepSpec, without: Resources = NO_RESOURCES) -> bool:
-    """Tells whether a worker has room for a task of a step.
-
-    Args:
-        worker: The worker.
-        spec: Step of the task.
-        without: Claims on the worker that will be gone by then.
-    """
-    capacity, demand = worker.info.capacity, spec.demand - without
-    if worker.room.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
-        return False
-    if worker.room.accelerators + demand.accelerators > capacity.accelerators:
-        return False
-    if spec.fills:
-        # What arrives next, and may not wait, needs memory too.
-        kept = int(MEMORY_KEPT * capacity.memory_bytes)
-        used = worker.room.memory_bytes + demand.memory_bytes
-        return used + kept <= capacity.memory_bytes
-    return worker.room.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
-
-
-def _limit_reached(worker: WorkerView, run: StepRun) -> bool:
-    limit = run.spec.worker_limit
-    if not limit:
-        return False
-    return sum(other.run_of is run for other in worker.tasks.values()) >= limit
-
-
-def _half_used(workers: Sequence[WorkerView]) -> bool:
-    capacity = sum(worker.info.capacity.cpu_millicores for worker in workers)
-    return 2 * sum(worker.room.cpu_millicores for worker in workers) >= capacity
+        return self._forecast.effect(worker, spec)[0] <= EXCESS_LIMIT
--- /dev/null
+++ b/chiveworks/dispatch/_room_checks.py
@@ -0,0 +1,60 @@
+"""Whether tasks find room on workers."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from chiveworks.base import Resources
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.workflow import StepRun, StepSpec
+
+#: Share of their reserved processor time that serving tasks use on average.
+SERVING_USE: Final = 0.5
+#: Share of a worker's memory that filling tasks leave free.
+MEMORY_KEPT: Final = 0.12
+#: Claims that are not there.
+NO_RESOURCES: Final = Resources()
+
+
+def share_left(worker: WorkerView, spec: StepSpec) -> float:
+    """Returns the share of a worker's processors that is left after a start."""
+    capacity = worker.info.capacity.cpu_millicores or 1
+    used: float = worker.room.cpu_millicores
+    if spec.fills:
+        used -= (1 - SERVING_USE) * worker.room.serving_millicores
+        used += worker.room.fill_millicores
+    return (capacity - used - spec.demand.cpu_millicores) / capacity
+
+
+def fits(worker: WorkerView, spec: StepSpec, without: Resources = NO_RESOURCES) -> bool:
+    """Tells whether a worker has room for a task of a step.
+
+    Args:
+        worker: The worker.
+        spec: Step of the task.
+        without: Claims on the worker that will be gone by then.
+    """
+    capacity, demand = worker.info.capacity, spec.demand - without
+    if worker.room.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
+        return False
+    if worker.room.accelerators + demand.accelerators > capacity.accelerators:
+        return False
+    if spec.fills:
+        # What arrives next, and may not wait, needs memory too.
+        kept = int(MEMORY_KEPT * capacity.memory_bytes)
+        used = worker.room.memory_bytes + demand.memory_bytes
+        return used + kept <= capacity.memory_bytes
+    return worker.room.cpu_millicores + demand.cpu_millicores <= capacity.cpu_millicores
+
+
+def limit_reached(worker: WorkerView, run: StepRun) -> bool:
+    """Tells whether a worker has as many tasks of a step as may run on one."""
+    limit = run.spec.worker_limit
+    if not limit:
+        return False
+    return sum(other.run_of is run for other in worker.tasks.values()) >= limit
+
+
+def half_used(workers: Sequence[WorkerView]) -> bool:
+    """Tells whether half of the processors of some workers are claimed."""
+    capacity = sum(worker.info.capacity.cpu_millicores for worker in workers)
+    return 2 * sum(worker.room.cpu_millicores for worker in workers) >= capacity
