--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(BIN)/python -m benchmarks.bench_scale
 	$(BIN)/python -m benchmarks.bench_control_scale
 	$(BIN)/python -m benchmarks.bench_membership
+	$(BIN)/python -m benchmarks.bench_claim_rounds
 
 bench-idle: $(READY) ## processor, memory and bytes of idle entry processes
 	$(BIN)/python -m benchmarks.bench_idle
