Test what becomes of a moved task whose room is not free

Two tests of the room that a move keeps: the moved task waits until its partner has left, and goes elsewhere once its target is gone. Both hold; no fault was found.

--- a/chiveworks/dispatch/tests/test_consolidator.py
+++ b/chiveworks/dispatch/tests/test_consolidator.py
@@ -33,13 +33,13 @@
         }
         self.workers = {}
         self.stopped = []
-        placer = Placer(self.clock, self.workers, lambda zone: False, self.model)
+        self.placer = Placer(self.clock, self.workers, lambda zone: False, self.model)
         self.consolidator = Consolidator(
             self.clock,
             RecordingLog(self.clock),
             self.workers,
             self,
-            placer,
+            self.placer,
             self.model,
             lambda: True,
         )
@@ -79,6 +79,15 @@
         worker.add(task)
         return task
 
+    def end(self, task):
+        """Lets the run of a stopped task end; the task waits again."""
+        self.workers[task.worker].remove(task)
+        task.release()
+        task.waiting_since = self.clock.monotonic()
+
+    def choose(self, task):
+        return self.placer.choose(task, list(self.workers.values()))
+
     def check(self):
         self.clock.shift(timedelta(seconds=1))
         self.consolidator.check()
@@ -131,3 +140,29 @@
     fleet.clock.shift(timedelta(seconds=5))
     fleet.check()
     assert fleet.workers[WorkerId('w2')].room.cpu_millicores == 4000
+
+
+def test_a_moved_task_waits_until_its_partner_has_left(fleet):
+    """Guards against two tasks in the room of one, and against a moved task that
+    goes anywhere else because its partner takes longer to stop."""
+    _fast, steady = fleet.worker('w1', 'fast', 'steady')
+    other, fast = fleet.worker('w2', 'steady', 'fast')
+    fleet.worker('w3')
+    fleet.check()
+    fleet.end(steady)
+    assert fleet.choose(steady) is None
+    fleet.end(fast)
+    assert fleet.choose(steady).worker_id == 'w2'
+    assert other.state is TaskState.RUNNING
+
+
+def test_a_moved_task_goes_elsewhere_when_its_target_has_left(fleet):
+    """Guards against a task that waits for room on a worker that is gone."""
+    _fast, steady = fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady')
+    fleet.check()
+    fleet.end(steady)
+    fleet.workers[WorkerId('w2')].live = False
+    fleet.clock.shift(timedelta(seconds=2))
+    candidates = [fleet.workers[WorkerId('w1')]]
+    assert fleet.placer.choose(steady, candidates).worker_id == 'w1'
