--- a/chiveworks/dispatch/tests/site.py
+++ b/chiveworks/dispatch/tests/site.py
@@ -171,3 +171,10 @@
             return WorkerInfo(**self.infos[name])
 
         return Replica(self.store, 'workers/', decode, self.clock, self.log)
+
+
+async def start(site, name='a'):
+    """Starts a process and lets it lead; returns its task."""
+    process = site.process(name)
+    await site.wait(0.5)
+    return process
