--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from datetime import timedelta
 
-
 from chiveworks.base import Resources
 from chiveworks.dispatch.tests.site import start
 from chiveworks.intake import IntakeVerdict
