Test that the next leader resumes the stops of a cancelled job

The test fails: a job is cancelled, its stops get no response, the leader stores its tasks as STOPPING and ends, and the workers respond to the next leader. Both runs go on under that leader, which keeps extending their leases.

Cause: the next leader reads jobs before workers. JobTable._end passes over tasks that are STOPPING, Orders.stop returns without sending because it knows no worker yet, and RunTracker does not repeat the stop on reports since _should_be_stopped passes over STOPPING too. After job_cancelled the log of the next leader has no run_stopping.

--- a/chiveworks/dispatch/tests/test_leaders.py
+++ b/chiveworks/dispatch/tests/test_leaders.py
@@ -4,12 +4,14 @@
 from collections import Counter
 from datetime import timedelta
 
+import msgpack
 from result import Err
 
 from chiveworks.base import Failure, JobId, Resources, Step
 from chiveworks.dispatch.tests.deployment import start_leader
 from chiveworks.intake import IntakeVerdict
-from chiveworks.workflow import JobState, StepSpec
+from chiveworks.metastore import progress_key
+from chiveworks.workflow import JobState, StepSpec, TaskState
 
 CORE = Resources(1000, 1)
 
@@ -67,6 +69,35 @@
     assert await deployment.state('j') is JobState.CANCELLED
 
 
+async def test_the_next_leader_resumes_the_stops_of_a_cancelled_job(
+    deployment,
+):
+    """Guards against runs of a cancelled job that continue for good: the stop had no
+    response when the leader changed, and the next leader does not send it again."""
+    first = await start_leader(deployment, 'a')
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=60)
+    await deployment.submit('j', StepSpec(2, CORE, long_running=True))
+    assert len(deployment.starts()) == 2
+    for runner in deployment.runners.values():
+        runner.lose_stops = True
+    assert (
+        await _call(deployment, deployment.intake.cancel(JobId('j')))
+        is IntakeVerdict.ACCEPTED
+    )
+    await deployment.wait(0.3)
+    assert _stored_task_states(deployment, 'j') == {TaskState.STOPPING}
+    await deployment.kill(first)
+    for runner in deployment.runners.values():
+        runner.lose_stops = False
+    deployment.process('b')
+    await deployment.wait(4)
+    assert deployment.log.named('leadership_gained')[-1]['process'] == 'b'
+    assert not any(runner.running for runner in deployment.runners.values())
+    assert not _stored_task_states(deployment, 'j')
+    assert await deployment.state('j') is JobState.CANCELLED
+
+
 async def test_a_process_leads_again_after_a_swallowed_cancellation(deployment):
     """Guards against a former leader that waits forever for its sessions and never
     campaigns again: an HTTP client may turn a cancellation into a timeout."""
@@ -142,3 +173,10 @@
     call = deployment.spawn(work)
     await deployment.wait(0.1)
     return call.result()
+
+
+def _stored_task_states(deployment, name):
+    """Returns the states of the tasks in the stored progress of a job, if any."""
+    item = deployment.store.items.get(progress_key(JobId(name)))
+    rows = msgpack.unpackb(item.content)['tasks'] if item else ()
+    return {TaskState(row[3]) for row in rows}
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -44,6 +44,7 @@
             are lost.
         fail_runs: Whether runs end with a failure.
         start_delay: Time until a start is executed.
+        lose_stops: Whether stops are not executed and get no response.
         stop_answer_delay: Time from the execution of a stop to its response.
         stall_runs: Whether runs make no progress and never complete.
         history: Starts and ends of runs, in order, for assertions.
@@ -56,6 +57,7 @@
         self.reachable = True
         self.drop_start_answers = 0
         self.start_delay = timedelta()
+        self.lose_stops = False
         self.stop_answer_delay = timedelta()
         self.fail_runs = False
         self.stall_runs = False
@@ -84,7 +86,7 @@
 
     async def stop(self, ref: TaskRef, attempt: int, token: Epoch) -> OrderOutcome:
         """Stops a run."""
-        if not self.reachable:
+        if self.lose_stops or not self.reachable:
             return OrderOutcome.UNKNOWN
         if token < self.token:
             return OrderOutcome.FENCED
