Test that the next leader resumes the stop of a stalled run

The test fails: a run stalls, its stop gets no response, the end of another run stores the task as STOPPING, and the leader changes. Under the next leader the run stays on its worker, and its job is never completed although another worker is free.

Orders.stop alone repeats a stop, and the next leader does not call it for a task that it restores as STOPPING; StallDetector and Drainer pass over such tasks. After state_recovered the log has no run_stopping.

--- a/chiveworks/dispatch/tests/test_leaders.py
+++ b/chiveworks/dispatch/tests/test_leaders.py
@@ -98,6 +98,30 @@
     assert await deployment.state('j') is JobState.CANCELLED
 
 
+async def test_the_next_leader_resumes_the_stop_of_a_stalled_run(deployment):
+    """Guards against a stalled run that is neither stopped nor restarted: its stop had
+    no response when the leader changed, and nothing checks it as it counts as
+    stopping."""
+    first = await start_leader(deployment, 'a')
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=4)
+    await deployment.submit('j', StepSpec(2, CORE, worker_limit=1))
+    stuck = deployment.runners['w0']
+    stuck.stall_runs = True
+    stuck.lose_stops = True
+    # The end of the other run stores the states of both tasks.
+    await deployment.wait(4.5)
+    states = {TaskState.STOPPING, TaskState.DONE}
+    assert _stored_task_states(deployment, 'j') == states
+    await deployment.kill(first)
+    stuck.lose_stops = False
+    deployment.process('b')
+    await deployment.wait(15)
+    assert deployment.log.named('leadership_gained')[-1]['process'] == 'b'
+    assert not stuck.running
+    assert await deployment.state('j') is JobState.COMPLETED
+
+
 async def test_a_process_leads_again_after_a_swallowed_cancellation(deployment):
     """Guards against a former leader that waits forever for its sessions and never
     campaigns again: an HTTP client may turn a cancellation into a timeout."""
