Log the outcomes of stops; count the runs of ended jobs

Cause: a run went on after the cancellation of its job was acknowledged. Four causes could not be told apart from the logs and metrics: a stop under way that the next leader does not resume (1), a leader that does not know of the cancellation (2), a stop that was sent but not carried out or whose response was misread (3), and a worker's lease that was extended although no process led (4). `Orders.stop` returned silently for an unknown worker, and no line gave the outcome of a stop. Change: lines, fields and metrics only; no decision, order or state changes. `Job.ended_at` is read by the metrics alone. In `Orders._stop` the check of the term moves into the condition of the loop, which leaves the function at the same points. - `stop_sent` with the outcome and the number of sends, also after `run_withdrawn`; of a repeated stop only the first and the last outcome: 3 from 1 and 2. - `stop_not_sent` with the state of the run if the worker is not known: 1. - `state_recovered` with `runs` and `runs_stopping`: 1. The wiring in PlatformProcess was run once by hand, with and without a scheduler; no test covers it.

--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -1,7 +1,7 @@
 """The workers in the platform's list, each with a session during the term."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from datetime import timedelta
 from typing import Any
 
@@ -110,6 +110,22 @@
             task for worker_id in lapsed for task in self._orphans.pop(worker_id)[1]
         ]
 
+    def runs(self) -> Iterator[Task]:
+        """Yields the tasks whose runs have not certainly ended."""
+        for worker in self.workers.values():
+            yield from worker.tasks.values()
+        for _lease, orphans in self._orphans.values():
+            yield from orphans
+
+    def runs_of_ended_jobs(self) -> list[timedelta]:
+        """Returns for each run of an ended job the time since the job's end."""
+        now = self._clock.monotonic()
+        return [
+            now - ended_at
+            for task in self.runs()
+            if (ended_at := task.step_run.job.ended_at) is not None
+        ]
+
     def _add(self, info: WorkerInfo) -> None:
         lease = WorkerLease(self._lease_limit, self._clock.monotonic())
         worker = WorkerView(info, self._connect(info), lease)
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -184,6 +184,7 @@
 
     def _end(self, job: Job, state: JobState) -> None:
         job.state = state
+        job.ended_at = self._clock.monotonic()
         self._writer.mark(job)
         for runs in job.occurrences.values():
             for run in runs:
--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -19,7 +19,7 @@
     Replica,
     Term,
 )
-from chiveworks.workflow import JobState, Submission, decode_record
+from chiveworks.workflow import JobState, Submission, TaskState, decode_record
 
 _Record = Submission | JobState
 
@@ -115,12 +115,15 @@
         for replica in (jobs, workers):
             while term.valid and not replica.synced:
                 await replica.step()
+        states = [task.state for task in scheduler.fleet.runs()]
         took = self._clock.monotonic() - started_at
         self._log.write(
             'state_recovered',
             token=term.token,
             jobs=len(scheduler.table.jobs),
             workers=len(workers.entries),
+            runs=len(states),
+            runs_stopping=states.count(TaskState.STOPPING),
             took_s=took.total_seconds(),
         )
         return [workers.run(), jobs.run()]
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -23,6 +23,8 @@
 ROOM_PAUSE: Final = timedelta(milliseconds=300)
 
 _CERTAINLY_STOPPED = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED))
+#: Outcomes after which a stop is not sent again under the term.
+_LAST_STOP_OUTCOMES = _CERTAINLY_STOPPED | {OrderOutcome.FENCED}
 
 
 class Orders:
@@ -61,8 +63,17 @@
 
     def stop(self, task: Task, reason: str) -> None:
         """Stops the current run; its capacity is freed once its end is known."""
-        worker = self._workers.get(_worker_of(task))
+        worker_id = _worker_of(task)
+        worker = self._workers.get(worker_id)
         if worker is None:
+            self._log_run(
+                'stop_not_sent',
+                worker_id,
+                task.ref,
+                task.attempt,
+                state=task.state.name.lower(),
+                reason=reason,
+            )
             return
         self._log_order('run_stopping', task, worker, reason=reason)
         if task.state is TaskState.CLAIMED and not task.sent:
@@ -159,10 +170,13 @@
 
     async def _stop(self, task: Task, worker: WorkerView) -> None:
         attempt = task.attempt
-        while task.ref in worker.tasks and task.attempt == attempt:
-            if not self._term.valid:
-                return
+        sends = 0
+        while task.ref in worker.tasks and task.attempt == attempt and self._term.valid:
             outcome = await worker.control.stop(task.ref, attempt, self._term.token)
+            sends += 1
+            # The repetitions in between, every 100 ms, are not logged.
+            if sends == 1 or outcome in _LAST_STOP_OUTCOMES:
+                self._log_stop(worker, task.ref, attempt, outcome, sends)
             if outcome in _CERTAINLY_STOPPED:
                 # From now on a poll either lists the run or the run never starts. The
                 # response says nothing about a newer run that the task may have by
@@ -178,15 +192,10 @@
             await self._clock.sleep(RETRY_PAUSE)
 
     async def _withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
-        self._log.write(
-            'run_withdrawn',
-            job=ref.job_id,
-            task=ref[1:],
-            attempt=attempt,
-            worker=worker.worker_id,
-        )
+        self._log_run('run_withdrawn', worker.worker_id, ref, attempt)
         if self._term.valid:
-            await worker.control.stop(ref, attempt, self._term.token)
+            outcome = await worker.control.stop(ref, attempt, self._term.token)
+            self._log_stop(worker, ref, attempt, outcome, 1)
         await self._clock.sleep(RETRY_PAUSE * 3)
         self._withdrawing.discard((worker.worker_id, ref, attempt))
 
@@ -203,15 +212,42 @@
                 # The pace counts as unknown, so it is set again after a later report.
                 worker.set_pace(task, UNKNOWN_PACE)
 
+    def _log_stop(
+        self,
+        worker: WorkerView,
+        ref: TaskRef,
+        attempt: int,
+        outcome: OrderOutcome,
+        sends: int,
+    ) -> None:
+        self._log_run(
+            'stop_sent',
+            worker.worker_id,
+            ref,
+            attempt,
+            outcome=outcome.value,
+            sends=sends,
+        )
+
     def _log_order(
         self, event: str, task: Task, worker: WorkerView, **fields: object
+    ) -> None:
+        self._log_run(event, worker.worker_id, task.ref, task.attempt, **fields)
+
+    def _log_run(
+        self,
+        event: str,
+        worker_id: WorkerId,
+        ref: TaskRef,
+        attempt: int,
+        **fields: object,
     ) -> None:
         self._log.write(
             event,
-            job=task.ref.job_id,
-            task=task.ref[1:],
-            attempt=task.attempt,
-            worker=worker.worker_id,
+            job=ref.job_id,
+            task=ref[1:],
+            attempt=attempt,
+            worker=worker_id,
             **fields,
         )
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -169,6 +169,7 @@
         if job.completed and not job.state.terminal:
             job.state = JobState.COMPLETED
         if job.state.terminal:
+            job.ended_at = job.ended_at or self._clock.monotonic()
             for task in job.active_tasks():
                 self.orders.stop(task, job.state.value)
             self.writer.mark(job)
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -112,7 +112,9 @@
         worker.lease.observe_clock(report.clock, now)
         if not worker.live:
             worker.live = True
-            self._log.write('worker_reached', worker=worker.worker_id)
+            self._log.write(
+                'worker_reached', worker=worker.worker_id, runs=len(report.running)
+            )
         self._tracker.apply(worker, report, polled_at)
         if first:
             self.wake()
--- a/chiveworks/dispatch/tests/deployment.py
+++ b/chiveworks/dispatch/tests/deployment.py
@@ -65,6 +65,7 @@
         self.runners = {}
         self.infos = {}
         self.evacuated = set()
+        self.leaders = {}
         self.advisor = SingleWorkerAdvisor()
         self.intake = JobIntake(self.store, self.clock, self.log)
         self._tasks = []
@@ -103,6 +104,7 @@
             self._create_scheduler,
             self._follow_workers,
         )
+        self.leaders[name] = leader
         self.spawn(election.leader.run())
         return self.spawn(leader.run())
 
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -3,10 +3,11 @@
 from collections import Counter
 from datetime import timedelta
 
-from chiveworks.base import Resources
+from chiveworks.base import JobId, Resources
+from chiveworks.dispatch import OrderOutcome, StartOrder
 from chiveworks.dispatch.tests.deployment import start_leader
 from chiveworks.intake import IntakeVerdict
-from chiveworks.workflow import JobState, QueuePolicy, StepSpec
+from chiveworks.workflow import JobState, QueuePolicy, StepSpec, TaskRef
 
 CORE = Resources(1000, 1)
 
@@ -97,6 +98,57 @@
     assert len(deployment.starts()) == 2
 
 
+async def test_a_stop_without_responses_is_logged_at_its_start_and_end(deployment):
+    """Guards against a stop whose outcome is not on record, against a line for each
+    repetition, and against runs of ended jobs that no metric counts."""
+    await start_leader(deployment)
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=30)
+        runner.stop = _lose_responses(runner.stop, 5)
+    await deployment.submit('j', StepSpec(1, CORE, long_running=True))
+    fleet = deployment.leaders['a'].scheduler.fleet
+    assert not fleet.runs_of_ended_jobs()
+    deployment.spawn(deployment.intake.cancel(JobId('j')))
+    await deployment.wait(0.3)
+    (age,) = fleet.runs_of_ended_jobs()
+    assert timedelta(seconds=0.1) < age < timedelta(seconds=0.4)
+    await deployment.wait(1)
+    lines = deployment.log.named('stop_sent')
+    assert [(line['outcome'], line['sends']) for line in lines] == [
+        ('unknown', 1),
+        ('accepted', 6),
+    ]
+    assert not fleet.runs_of_ended_jobs()
+
+
+def _lose_responses(stop, count):
+    lost = []
+
+    async def lose(*args):
+        if len(lost) == count:
+            return await stop(*args)
+        lost.append(args)
+        return OrderOutcome.UNKNOWN
+
+    return lose
+
+
+async def test_the_outcome_of_stopping_an_unclaimed_run_is_logged(deployment):
+    """Guards against a withdrawn run of which no line says whether it was stopped."""
+    await start_leader(deployment)
+    runner = deployment.runners['w0']
+    ref = TaskRef(JobId('unclaimed'), 0, 0, 0)
+    lease_end = deployment.clock.monotonic() + timedelta(seconds=5)
+    await runner.start(StartOrder(ref, 3, '', lease_end, runner.token))
+    await deployment.wait(1.5)
+    (line,) = deployment.log.named('stop_sent')
+    assert (line['job'], line['attempt'], line['outcome']) == (
+        'unclaimed',
+        3,
+        'accepted',
+    )
+
+
 async def test_nothing_starts_in_an_evacuated_zone(deployment):
     """Guards against starts in a zone that operators have evacuated."""
     await start_leader(deployment)
--- a/chiveworks/dispatch/tests/test_leaders.py
+++ b/chiveworks/dispatch/tests/test_leaders.py
@@ -122,6 +122,52 @@
     assert await deployment.state('j') is JobState.COMPLETED
 
 
+async def test_a_stop_under_way_when_the_leader_changes_is_logged(deployment):
+    """Guards against logs in which a stop that a leader did not complete, and the run
+    that goes on under the next one, cannot be seen."""
+    first = await start_leader(deployment, 'a')
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=60)
+        runner.lose_stops = True
+    await deployment.submit('j', StepSpec(1, CORE, long_running=True))
+    await _call(deployment, deployment.intake.cancel(JobId('j')))
+    await deployment.wait(0.5)
+    await deployment.kill(first)
+    log = deployment.log
+    assert [line['outcome'] for line in log.named('stop_sent')] == ['unknown']
+    log.events.clear()
+    deployment.process('b')
+    await deployment.wait(3)
+    recovered = log.named('state_recovered')[0]
+    assert (recovered['runs'], recovered['runs_stopping']) == (1, 1)
+    not_sent = log.named('stop_not_sent')[0]
+    assert (not_sent['job'], not_sent['attempt'], not_sent['state']) == (
+        'j',
+        1,
+        'stopping',
+    )
+    assert sorted(line['runs'] for line in log.named('worker_reached')) == [0, 1]
+
+
+async def test_a_restored_job_that_had_ended_counts_as_ended(deployment):
+    """Guards against a metric that misses the runs of jobs that ended under an earlier
+    leader."""
+    first = await start_leader(deployment, 'a')
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=60)
+        runner.lose_stops = True
+    await deployment.submit('j', StepSpec(1, CORE))
+    table = deployment.leaders['a'].scheduler.table
+    job = table.jobs[JobId('j')]
+    table.fail(job, next(job.tasks()))
+    await deployment.wait(0.3)
+    await deployment.kill(first)
+    deployment.process('b')
+    await deployment.wait(3)
+    fleet = deployment.leaders['b'].scheduler.fleet
+    assert len(fleet.runs_of_ended_jobs()) == 1
+
+
 async def test_a_process_leads_again_after_a_swallowed_cancellation(deployment):
     """Guards against a former leader that waits forever for its sessions and never
     campaigns again: an HTTP client may turn a cancellation into a timeout."""
--- a/chiveworks/events/_event_metrics.py
+++ b/chiveworks/events/_event_metrics.py
@@ -1,6 +1,6 @@
 """Metrics derived from events and from calls to the metadata store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Final
 
@@ -26,6 +26,8 @@
         process: Name of the process.
         zone: Availability zone of the process.
         queue_lengths: Returns the number of waiting tasks, by queue.
+        runs_of_ended_jobs: Returns for each run of an ended job the time since the
+            job's end; None if this process is not the leader.
     """
 
     def __init__(
@@ -33,8 +35,10 @@
         process: str,
         zone: str,
         queue_lengths: Callable[[], dict[str, int]],
+        runs_of_ended_jobs: Callable[[], Sequence[timedelta] | None],
     ) -> None:
         self._queue_lengths = queue_lengths
+        self._runs_of_ended_jobs = runs_of_ended_jobs
         self._registry = CollectorRegistry()
         self._provider = MeterProvider(
             [PrometheusMetricReader(scope_info_enabled=False, registry=self._registry)],
@@ -71,6 +75,17 @@
             [self._observe_queues],
             description='Tasks that wait for a worker, by queue',
         )
+        meter.create_observable_gauge(
+            'chiveworks_runs_of_ended_jobs',
+            [self._observe_runs_of_ended_jobs],
+            description='Runs that occupy a worker although their job has ended',
+        )
+        meter.create_observable_gauge(
+            'chiveworks_oldest_unfinished_job_end',
+            [self._observe_oldest_job_end],
+            'ms',
+            'Time since the oldest job end after which a run still occupies a worker',
+        )
 
     def observe(self, event: str, fields: dict[str, object]) -> None:
         """Counts a logged event and records the durations in its fields."""
@@ -100,3 +115,16 @@
             Observation(length, {**self._zone, 'queue': queue})
             for queue, length in self._queue_lengths().items()
         ]
+
+    def _observe_runs_of_ended_jobs(
+        self, _options: CallbackOptions
+    ) -> list[Observation]:
+        ages = self._runs_of_ended_jobs()
+        return [] if ages is None else [Observation(len(ages), self._zone)]
+
+    def _observe_oldest_job_end(self, _options: CallbackOptions) -> list[Observation]:
+        ages = self._runs_of_ended_jobs()
+        if ages is None:
+            return []
+        oldest = max(ages, default=timedelta())
+        return [Observation(oldest // _MILLISECOND, self._zone)]
--- a/chiveworks/events/_job_timeline.py
+++ b/chiveworks/events/_job_timeline.py
@@ -18,6 +18,10 @@
 )
 #: Time between log lines, in seconds, above which the timeline shows a gap.
 _MIN_GAP_S: Final = 2.0
+#: Events after which the runs of a job should end.
+_JOB_END_EVENTS: Final = frozenset(
+    ('cancel_requested', 'job_completed', 'job_failed', 'job_cancelled')
+)
 _HIDDEN_FIELDS: Final = frozenset(('at', 'event', 'process', 'zone', 'job'))
 
 
@@ -109,6 +113,7 @@
             ('runs failed', _count_events(job_entries, 'run_ended', how='failed')),
             ('runs stopped', _count_events(job_entries, 'run_stopping')),
             ('runs lost', _count_events(job_entries, 'run_lost')),
+            ('runs not ended', _count_runs_not_ended(job_entries)),
             ('starts refused', _count_events(job_entries, 'start_refused')),
             ('pauses', _count_events(job_entries, 'run_paced', percent=0)),
         )
@@ -124,6 +129,21 @@
     return TimelineEntry(last['at'], '', f'= {outcome}{late}: {summary}')
 
 
+def _count_runs_not_ended(entries: Sequence[dict[str, Any]]) -> int:
+    """Returns the number of started runs without an end, once the job should end."""
+    if not any(entry['event'] in _JOB_END_EVENTS for entry in entries):
+        return 0
+    started, ended = (
+        {
+            (str(entry.get('task')), entry.get('attempt'))
+            for entry in entries
+            if entry['event'] in events
+        }
+        for events in (('run_started',), ('run_ended', 'run_lost'))
+    )
+    return len(started - ended)
+
+
 def _count_events(
     entries: Sequence[dict[str, Any]], event: str, **field_values: object
 ) -> int:
--- a/chiveworks/events/tests/test_job_timeline.py
+++ b/chiveworks/events/tests/test_job_timeline.py
@@ -36,6 +36,19 @@
     assert 'not accepted (refused)' in build_job_timeline('b', LINES)[-1].text
 
 
+def test_runs_of_a_cancelled_job_without_an_end_are_counted():
+    """Guards against a summary that hides that runs of a cancelled job go on."""
+    run = {'job': 'a', 'attempt': 1}
+    started = [line(1.0, 'run_started', task=[0, 0, n], **run) for n in range(3)]
+    ends = [
+        line(2.0, 'cancel_requested', job='a', outcome='accepted'),
+        line(3.0, 'run_ended', task=[0, 0, 0], how='stopped', **run),
+        line(3.0, 'run_lost', task=[0, 0, 1], **run),
+    ]
+    assert 'runs not ended 1' in build_job_timeline('a', started + ends)[-1].text
+    assert 'not ended' not in build_job_timeline('a', started)[-1].text
+
+
 def test_an_unknown_job_has_no_timeline():
     """Guards against an invented timeline for a job without log lines."""
     assert build_job_timeline('c', LINES) == []
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -57,7 +57,10 @@
         fields = {'process': settings.process, 'zone': settings.zone}
         self._log = EventLog(self._clock, fields)
         self._metrics = EventMetrics(
-            settings.process, settings.zone, self._queue_lengths
+            settings.process,
+            settings.zone,
+            self._queue_lengths,
+            self._runs_of_ended_jobs,
         )
         self._log.subscribe(self._metrics.observe)
         self._store = HttpMetadataStore(
@@ -161,6 +164,10 @@
         scheduler = self._leader.scheduler
         return {} if scheduler is None else scheduler.table.waiting()
 
+    def _runs_of_ended_jobs(self) -> list[timedelta] | None:
+        scheduler = self._leader.scheduler
+        return None if scheduler is None else scheduler.fleet.runs_of_ended_jobs()
+
     def _on_operator_entry(self, name: str, entry: QueueCatalogue | str | None) -> None:
         if name != CONFIG_NAME:
             self._log.write('operator_request', name=name, present=entry is not None)
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -47,6 +47,8 @@
         expires_at: When a late completion no longer earns credit.
         remaining_work: Declared core-seconds of the tasks that are not done.
         started: Whether any task has ever been claimed.
+        ended_at: When the scheduler of this term learned of the job's end; None while
+            the job is open.
     """
 
     def __init__(self, submission: Submission, seen_at: timedelta) -> None:
@@ -58,6 +60,7 @@
         self.version = 0
         self.durable_version = 0
         self.started = False
+        self.ended_at: timedelta | None = None
         critical_paths = _critical_paths(submission.spec.steps)
         queue = submission.queue
         allowed = queue.stretch * max(critical_paths) + queue.latency_objective
