Send a stop again for a run that is listed although it must end

Cause: the obligation to stop a run existed only as a background task of the leader that decided on it, while the state of the task, STOPPING, was stored. The next leader restored STOPPING but sent nothing: it reads jobs before workers, so Orders.stop knew no worker, JobTable passed over tasks that already count as stopping, and so did the check of each report. The run stayed a valid claim whose lease every poll extended. The first stop need not be that of the cancellation; after one for interference or a move, a later cancellation passed over the task in the same way. Within a term, a stop that the worker accepted without effect was not repeated either.

Change: a report that lists a run which must end, also one in STOPPING, leads to a stop, unless a stop of that run is under way or was accepted less than 1 s ago. Orders.stop marks the run even if the worker is not known yet. This works because the need for a stop is now derived from the stored state and the worker's own list, whoever leads.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -14,6 +14,8 @@
 
 #: Pause before an order without a response is sent again.
 RETRY_PAUSE: Final = timedelta(milliseconds=100)
+#: Pause after an accepted stop before it is sent again for a run that is still listed.
+STOP_REPEAT_PAUSE: Final = timedelta(seconds=1)
 #: Number of times a start is sent without a response before the run is stopped.
 START_SEND_LIMIT: Final = 3
 #: Time during which a worker that refused a start as unhealthy gets no work.
@@ -23,7 +25,7 @@
 ROOM_PAUSE: Final = timedelta(milliseconds=300)
 
 _CERTAINLY_STOPPED = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.SUPERSEDED))
-#: Outcomes after which a stop is not sent again under the term.
+#: Outcomes after which a stop is not retried.
 _LAST_STOP_OUTCOMES = _CERTAINLY_STOPPED | {OrderOutcome.FENCED}
 
 
@@ -54,6 +56,7 @@
         self._workers = workers
         self._released = released
         self._spawn = spawn
+        self._stopping: set[tuple[WorkerId, TaskRef, int]] = set()
         self._withdrawing: set[tuple[WorkerId, TaskRef, int]] = set()
 
     def start(self, task: Task, ticket: str = '') -> None:
@@ -62,7 +65,11 @@
         self._spawn(self._start(task, self._workers[_worker_of(task)], ticket))
 
     def stop(self, task: Task, reason: str) -> None:
-        """Stops the current run; its capacity is freed once its end is known."""
+        """Stops the current run; its capacity is freed once its end is known.
+
+        A call is ignored while an earlier stop of the run is under way. If the worker
+        is not known yet, the stop is sent when the worker lists the run.
+        """
         worker_id = _worker_of(task)
         worker = self._workers.get(worker_id)
         if worker is None:
@@ -74,13 +81,16 @@
                 state=task.state.name.lower(),
                 reason=reason,
             )
+            _mark_stopping(task)
+            return
+        if _run_key(worker, task) in self._stopping:
             return
         self._log_order('run_stopping', task, worker, reason=reason)
         if task.state is TaskState.CLAIMED and not task.sent:
             self._released(worker, task, reason)
             return
-        if task.active:
-            task.state = TaskState.STOPPING
+        _mark_stopping(task)
+        self._stopping.add(_run_key(worker, task))
         self._spawn(self._stop(task, worker))
 
     def withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
@@ -169,6 +179,14 @@
             task.avoided_workers.add(worker.worker_id)
 
     async def _stop(self, task: Task, worker: WorkerView) -> None:
+        key = _run_key(worker, task)
+        self._stopping.add(key)
+        if await self._send_stop(task, worker):
+            await self._clock.sleep(STOP_REPEAT_PAUSE)
+        self._stopping.discard(key)
+
+    async def _send_stop(self, task: Task, worker: WorkerView) -> bool:
+        """Sends a stop until the worker accepts it; returns whether it did."""
         attempt = task.attempt
         sends = 0
         while task.ref in worker.tasks and task.attempt == attempt and self._term.valid:
@@ -186,10 +204,11 @@
                     and not task.started_at
                 ):
                     task.started_at = self._clock.monotonic()
-                return
+                return True
             if outcome is OrderOutcome.FENCED:
                 self._term.end('a worker has seen a higher fencing token')
             await self._clock.sleep(RETRY_PAUSE)
+        return False
 
     async def _withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
         self._log_run('run_withdrawn', worker.worker_id, ref, attempt)
@@ -256,5 +275,14 @@
     return task.attempt == attempt and task.state is state
 
 
+def _mark_stopping(task: Task) -> None:
+    if task.active:
+        task.state = TaskState.STOPPING
+
+
+def _run_key(worker: WorkerView, task: Task) -> tuple[WorkerId, TaskRef, int]:
+    return worker.worker_id, task.ref, task.attempt
+
+
 def _worker_of(task: Task) -> WorkerId:
     return task.worker or WorkerId('')
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -93,8 +93,9 @@
                 continue
             listed.add(row.ref)
             _update(task, row, now)
-            if _should_be_stopped(task):
-                self._stop(task, 'the job or task has ended')
+            reason = _reason_to_stop(task)
+            if reason:
+                self._stop(task, reason)
         return listed
 
     def _apply_end(self, worker: WorkerView, end: EndRow) -> None:
@@ -160,11 +161,17 @@
                 self.release(worker, task, 'not listed by the worker')
 
 
-def _should_be_stopped(task: Task) -> bool:
-    """Whether a run continues although its job, or the task itself, has ended."""
-    if task.state is TaskState.DONE:
-        return True
-    return task.step_run.job.state.terminal and task.state is not TaskState.STOPPING
+def _reason_to_stop(task: Task) -> str:
+    """Returns why a run that a worker lists must be stopped; empty if it may go on.
+
+    A task may count as stopping although no stop is under way: the leader that decided
+    on the stop has been replaced, or the worker accepted the stop without effect.
+    """
+    if task.state is TaskState.STOPPING:
+        return 'an earlier stop has not ended the run'
+    if task.state is TaskState.DONE or task.step_run.job.state.terminal:
+        return 'the job or task has ended'
+    return ''
 
 
 def _update(task: Task, row: RunRow, now: timedelta) -> None:
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -80,6 +80,22 @@
     assert len(deployment.starts()) == 2
 
 
+async def test_a_stop_without_effect_is_sent_again(deployment):
+    """Guards against a cancelled run that continues after its worker has accepted the
+    stop."""
+    await start_leader(deployment)
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=30)
+    await deployment.submit('j', StepSpec(1, CORE))
+    runner = next(each for each in deployment.runners.values() if each.running)
+    runner.ignored_stops = 1
+    cancellation = deployment.spawn(deployment.intake.cancel(JobId('j')))
+    await deployment.wait(4)
+    assert cancellation.result() is IntakeVerdict.ACCEPTED
+    assert not runner.running
+    assert await deployment.state('j') is JobState.CANCELLED
+
+
 async def test_a_late_stop_response_does_not_affect_the_next_run(deployment):
     """Guards against a run that counts as lost because it is not listed yet. This
     happens if the response to the stop of the previous run arrives after the claim
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -44,6 +44,7 @@
             are lost.
         fail_runs: Whether runs end with a failure.
         start_delay: Time until a start is executed.
+        ignored_stops: Number of stops that are accepted but not executed.
         lose_stops: Whether stops are not executed and get no response.
         stop_answer_delay: Time from the execution of a stop to its response.
         stall_runs: Whether runs make no progress and never complete.
@@ -57,6 +58,7 @@
         self.reachable = True
         self.drop_start_answers = 0
         self.start_delay = timedelta()
+        self.ignored_stops = 0
         self.lose_stops = False
         self.stop_answer_delay = timedelta()
         self.fail_runs = False
@@ -91,6 +93,9 @@
         if token < self.token:
             return OrderOutcome.FENCED
         self.token = token
+        if self.ignored_stops:
+            self.ignored_stops -= 1
+            return OrderOutcome.ACCEPTED
         self._highest_ended_attempt[ref] = max(
             attempt, self._highest_ended_attempt.get(ref, 0)
         )
