Do not renew a term that has already become invalid

What callers would see: tasks that are claimed but never start, jobs that never end, or runs that are not stopped on a worker that leaves, under a leader that otherwise works.

Cause: Term.valid turned false 1.3 s after the last renewal, and true again if the response to a later one arrived within its timeout of 0.4 s. Work that met the gap was given up although the term went on: sending a start or stop again, the pace of a run, and the periodic checks of the scheduler. It is the class of fault of: what was to be done was known only to a background task. Change: a response that arrives after the validity has ended ends the term. A gap that a periodic check met, every 50 ms, ended the term before as well, so terms end only slightly more often. The process contends again at once, and the next term takes over claims and runs from the store.

MemoryRunner can lose starts. Ruled out: letting starts and stops wait while the term is invalid but not lost mends starts, but the periodic checks and the pace need a change each.

--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -78,7 +78,7 @@
 
     @property
     def valid(self) -> bool:
-        """Whether the lease is still valid according to the local clock."""
+        """Whether the lease is still valid by the local clock; once false, it stays so."""
         return not self.lost.is_set() and self._clock.monotonic() < self.valid_until
 
     def end(self, reason: str) -> None:
@@ -98,6 +98,9 @@
             if not result.ok_value:
                 self.end('the lease has ended')
                 return
+            if self._clock.monotonic() >= self.valid_until:
+                # Work of the term may already have been given up.
+                break
             self.valid_until = sent_at + self._ttl - VALIDITY_MARGIN
             await self._clock.sleep(self._ttl / 4)
         self.end('the lease was not renewed in time')
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -45,6 +45,7 @@
         fail_runs: Whether runs end with a failure.
         start_delay: Time until a start is executed.
         ignored_stops: Number of stops that are accepted but not executed.
+        lose_starts: Whether starts are not executed and get no response.
         lose_stops: Whether stops are not executed and get no response.
         stop_answer_delay: Time from the execution of a stop to its response.
         stall_runs: Whether runs make no progress and never complete.
@@ -59,6 +60,7 @@
         self.drop_start_answers = 0
         self.start_delay = timedelta()
         self.ignored_stops = 0
+        self.lose_starts = False
         self.lose_stops = False
         self.stop_answer_delay = timedelta()
         self.fail_runs = False
@@ -76,7 +78,7 @@
 
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Starts a run."""
-        if not self.reachable:
+        if self.lose_starts or not self.reachable:
             return OrderOutcome.UNKNOWN
         if self.start_delay:
             await self._clock.sleep(self.start_delay)
