Refuse writes under an ended lease in the in-memory metadata store

The platform's store responds with 404. New leases could also get the id of a lease that was still in use. Change: such writes are refused, or dropped if they were delayed; ids are not reused.

--- a/standins/metadata/_memory_metadata_store.py
+++ b/standins/metadata/_memory_metadata_store.py
@@ -33,6 +33,7 @@
         self._revision = 1
         self._history: list[StoreItem] = []
         self._leases: dict[int, tuple[timedelta, timedelta]] = {}
+        self._last_lease = 0
         self._lease_by_key: dict[str, int] = {}
         self._delayed: list[Transaction] = []
 
@@ -84,6 +85,8 @@
             self.faults.delay_writes -= 1
             self._delayed.append(transaction)
             return Err(_no_response())
+        if self._lacks_lease(transaction):
+            return Err(_refused())
         outcome = self._apply(transaction)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
@@ -91,8 +94,15 @@
         return Ok(outcome)
 
     def apply_delayed(self) -> list[Committed | Conflict]:
-        """Applies the delayed transactions; those that conflict have no effect."""
-        outcomes = [self._apply(transaction) for transaction in self._delayed]
+        """Applies the delayed transactions; those that conflict have no effect.
+
+        Transactions whose lease has ended are dropped.
+        """
+        outcomes = [
+            self._apply(transaction)
+            for transaction in self._delayed
+            if not self._lacks_lease(transaction)
+        ]
         self._delayed.clear()
         return outcomes
 
@@ -100,9 +110,9 @@
         """Creates a lease."""
         if self.faults.refuse:
             return Err(_refused())
-        lease = len(self._leases) + 1
-        self._leases[lease] = (ttl, self._clock.monotonic() + ttl)
-        return Ok(StoreLeaseId(lease))
+        self._last_lease += 1
+        self._leases[self._last_lease] = (ttl, self._clock.monotonic() + ttl)
+        return Ok(StoreLeaseId(self._last_lease))
 
     async def renew_lease(self, lease: StoreLeaseId) -> Result[bool, Failure]:
         """Renews a lease."""
@@ -137,6 +147,10 @@
         """Removes an item unconditionally, as the operator or a worker would."""
         self._remove(key)
 
+    def _lacks_lease(self, transaction: Transaction) -> bool:
+        self._expire()
+        return bool(transaction.leased) and transaction.lease not in self._leases
+
     def _apply(self, transaction: Transaction) -> Committed | Conflict:
         self._expire()
         current = {key: self._item(key) for key in transaction.expected}
