Log the end of a term that the scheduler notices first

Cause: a periodic check of the scheduler that found the term invalid ended the work of the leader, and the renewal of the lease was cancelled before it logged the end. The logs then showed no leadership_lost, which docs/OPERATIONS.md reads as a killed process. Change: the leader ends the term, with its line, when the scheduler returns. Evidence: test_the_end_of_a_term_is_logged_whichever_part_notices_it fails without the change. Tests of chiveworks/dispatch pass; flake8 and mypy report nothing.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -86,6 +86,8 @@
             watches = await self._recover(term, scheduler)
             background.extend(asyncio.create_task(work) for work in watches)
             await scheduler.run()
+            # The scheduler may notice the end before the renewal of the lease does.
+            term.end('the lease was not renewed in time')
         finally:
             self.scheduler = None
             await cancel_all(background)
--- a/chiveworks/dispatch/tests/test_leaders.py
+++ b/chiveworks/dispatch/tests/test_leaders.py
@@ -185,6 +185,19 @@
     assert await deployment.state('j') is JobState.COMPLETED
 
 
+async def test_the_end_of_a_term_is_logged_whichever_part_notices_it(deployment):
+    """Guards against a leader that stops scheduling without a line that says so."""
+    await start_leader(deployment)
+
+    async def respond_never(_lease):
+        await asyncio.Event().wait()
+
+    deployment.store.renew_lease = respond_never
+    await deployment.wait(1.5)
+    reasons = [line['reason'] for line in deployment.log.named('leadership_lost')]
+    assert reasons == ['the lease was not renewed in time']
+
+
 def _swallow_one_cancellation(runner):
     poll, swallowed = runner.poll, []
 
