Drop stops of runs that may go on when the leader changes

What callers would see: the only working task of a step is stopped, since an earlier leader had decided to move it while all tasks of the step were at work (AVAIL).

Cause: lets the next leader complete every stop that it finds under way. For ended jobs and gangs this is owed. For the others the decision depended on what the former leader knew: that no other task of the step is away, the reserved room of a move, the interference and the stalls that it saw. Change: Fleet.adopt takes such runs over as running.

--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -12,7 +12,7 @@
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import UNKNOWN_PACE, Task
+from chiveworks.workflow import UNKNOWN_PACE, Task, TaskState
 
 
 class Fleet:
@@ -78,8 +78,13 @@
         The worker either lists the run in its first report or does not have it: the
         first poll carries the fencing token of this term, after which the worker
         refuses orders of the earlier term.
+
+        A stop that the earlier leader decided on for a run that may go on, such as a
+        move, is dropped: it depended on what that leader knew of other workers.
         """
         now = self._clock.monotonic()
+        if task.state is TaskState.STOPPING and _may_go_on(task):
+            task.state = TaskState.RUNNING
         # The earlier leader may have paused the run.
         task.pace_percent = UNKNOWN_PACE if task.spec.fills else task.pace_percent
         task.started_at = now
@@ -141,3 +146,8 @@
         if self.workers.get(worker.worker_id) is worker:
             self.workers.pop(worker.worker_id)
             self.sessions.pop(worker.worker_id)
+
+
+def _may_go_on(task: Task) -> bool:
+    # The other members of a gang may have been stopped already.
+    return not (task.step_run.job.state.terminal or task.spec.gang)
