Do not log stops after the end of a term

Cause: since each report that lists a run to be stopped leads to run_stopping, also in a session that outlives its term and sends nothing. Change: Orders.stop does nothing once the term is invalid. The run that a stop is meant for is fixed when the stop is decided, not when its task begins to run. The pages say when a stop is repeated. Evidence: test_no_stop_is_logged_after_the_end_of_a_term fails without the change.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -67,8 +67,9 @@
     def stop(self, task: Task, reason: str) -> None:
         """Stops the current run; its capacity is freed once its end is known.
 
-        A call is ignored while an earlier stop of the run is under way. If the worker
-        is not known yet, the stop is sent when the worker lists the run.
+        A call is ignored while an earlier stop of the run is under way or was accepted
+        less than `STOP_REPEAT_PAUSE` ago. If the worker is not known yet, the stop is
+        sent when the worker lists the run.
         """
         worker_id = _worker_of(task)
         worker = self._workers.get(worker_id)
@@ -83,15 +84,15 @@
             )
             _mark_stopping(task)
             return
-        if _run_key(worker, task) in self._stopping:
+        key = (worker_id, task.ref, task.attempt)
+        if key in self._stopping or not self._term.valid:
             return
         self._log_order('run_stopping', task, worker, reason=reason)
         if task.state is TaskState.CLAIMED and not task.sent:
             self._released(worker, task, reason)
             return
         _mark_stopping(task)
-        self._stopping.add(_run_key(worker, task))
-        self._spawn(self._stop(task, worker))
+        self._spawn(self._stop(task, worker, task.attempt))
 
     def withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
         """Stops a run that matches no claim of this scheduler.
@@ -121,7 +122,7 @@
                 missing_responses += 1
                 if missing_responses >= START_SEND_LIMIT:
                     task.state = TaskState.STOPPING
-                    await self._stop(task, worker)
+                    await self._stop(task, worker, attempt)
                     return
                 await self._clock.sleep(RETRY_PAUSE)
                 continue
@@ -163,7 +164,7 @@
         else:
             # An earlier start without a response may still be carried out.
             task.state = TaskState.STOPPING
-            await self._stop(task, worker)
+            await self._stop(task, worker, task.attempt)
 
     def _handle_refusal(
         self, worker: WorkerView, task: Task, outcome: OrderOutcome
@@ -178,16 +179,17 @@
         elif outcome in {OrderOutcome.GONE, OrderOutcome.INVALID}:
             task.avoided_workers.add(worker.worker_id)
 
-    async def _stop(self, task: Task, worker: WorkerView) -> None:
-        key = _run_key(worker, task)
+    async def _stop(self, task: Task, worker: WorkerView, attempt: int) -> None:
+        key = (worker.worker_id, task.ref, attempt)
+        if key in self._stopping:
+            return
         self._stopping.add(key)
-        if await self._send_stop(task, worker):
+        if await self._send_stop(task, worker, attempt):
             await self._clock.sleep(STOP_REPEAT_PAUSE)
         self._stopping.discard(key)
 
-    async def _send_stop(self, task: Task, worker: WorkerView) -> bool:
+    async def _send_stop(self, task: Task, worker: WorkerView, attempt: int) -> bool:
         """Sends a stop until the worker accepts it; returns whether it did."""
-        attempt = task.attempt
         sends = 0
         while task.ref in worker.tasks and task.attempt == attempt and self._term.valid:
             outcome = await worker.control.stop(task.ref, attempt, self._term.token)
@@ -280,9 +282,5 @@
         task.state = TaskState.STOPPING
 
 
-def _run_key(worker: WorkerView, task: Task) -> tuple[WorkerId, TaskRef, int]:
-    return worker.worker_id, task.ref, task.attempt
-
-
 def _worker_of(task: Task) -> WorkerId:
     return task.worker or WorkerId('')
--- a/chiveworks/dispatch/tests/test_leaders.py
+++ b/chiveworks/dispatch/tests/test_leaders.py
@@ -198,6 +198,18 @@
     assert reasons == ['the lease was not renewed in time']
 
 
+async def test_no_stop_is_logged_after_the_end_of_a_term(deployment):
+    """Guards against lines of stops that are never sent, one for each report."""
+    await start_leader(deployment)
+    await deployment.submit('j', StepSpec(1, CORE, long_running=True))
+    leader = deployment.leaders['a']
+    scheduler = leader.scheduler
+    (task,) = scheduler.table.jobs[JobId('j')].tasks()
+    await leader.resign()
+    scheduler.orders.stop(task, 'the job or task has ended')
+    assert not deployment.log.named('run_stopping')
+
+
 def _swallow_one_cancellation(runner):
     poll, swallowed = runner.poll, []
 
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -36,7 +36,7 @@
     CLAIMED = 1
     #: Runs on the worker.
     RUNNING = 2
-    #: The worker was asked to stop it.
+    #: To be stopped by its worker, which may not have been asked yet.
     STOPPING = 3
     DONE = 4
 
