Do not start a completed task again when its last worker stays away

What callers would see: a task starts once more after an earlier run of it ended with success (TWICE).

Cause: a run whose worker is not listed when a leader takes over goes back to waiting when the worker's lease has lapsed. The state was not checked: an earlier run, on a worker that came back, may have completed the task meanwhile. Change: only tasks that still occupy the missing worker are put back.

--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -249,7 +249,9 @@
             if self.table.open_due() or self.table.ready:
                 self._wake.set()
             for task in self.fleet.lapsed_orphans():
-                self.table.requeue(task)
+                # An earlier run may have completed the task.
+                if task.active:
+                    self.table.requeue(task)
             self._drainer.check()
             self._stalls.check()
             self._consolidator.check()
--- a/chiveworks/dispatch/tests/test_adopted_runs.py
+++ b/chiveworks/dispatch/tests/test_adopted_runs.py
@@ -4,7 +4,7 @@
 
 from chiveworks.base import JobId, Resources
 from chiveworks.dispatch.tests.deployment import start_leader
-from chiveworks.workflow import StepSpec, TaskState
+from chiveworks.workflow import JobState, StepSpec, TaskState
 
 CORE = Resources(1000, 1)
 
@@ -38,3 +38,31 @@
         for entry in deployment.runners[moved.worker].history
         if entry[0] == 'stopped'
     ]
+
+
+async def test_a_task_that_is_done_does_not_start_again_without_its_last_worker(
+    deployment,
+):
+    """Guards against a second start of a completed task: its last run was on a worker
+    that the new leader never sees, and an earlier run completes it."""
+    first = await start_leader(deployment, 'a')
+    await deployment.submit('j', StepSpec(1, CORE), StepSpec(1, CORE, after=(0,)))
+    earlier = next(n for n, runner in deployment.runners.items() if runner.running)
+    later = next(name for name in deployment.runners if name != earlier)
+    deployment.runners[later]._duration = timedelta(seconds=60)
+    deployment.runners[earlier].reachable = False
+    # The run is completed while its worker is not reachable.
+    await deployment.wait(2)
+    assert not deployment.runners[earlier].running
+    await deployment.wait(5)
+    assert deployment.runners[later].running
+    await deployment.kill(first)
+    deployment.runners[later].reachable = False
+    deployment.store.remove(f'workers/{later}')
+    deployment.runners[earlier].reachable = True
+    # The job is still open when the lease of the missing worker has lapsed.
+    deployment.runners[earlier]._duration = timedelta(seconds=10)
+    deployment.process('b')
+    await deployment.wait(25)
+    assert [ref.step for ref in deployment.starts()].count(0) == 2
+    assert await deployment.state('j') is JobState.COMPLETED
