Free the worker of a start that was stopped for a completed task

What callers would see: capacity of a worker that stays taken until the leader changes.

Cause: a start without a response yet is stopped when an earlier run completes the task. The response to the stop shows that a poll must list the run from then on, but this was noted only for tasks in STOPPING; the task was done, so the absence of the run from the reports freed nothing. Change: the state of the task is not checked; its attempt still is, so a newer run of the task is not affected. Evidence: test_a_start_that_is_stopped_under_way_frees_its_worker fails without the change; found by a review with trial tests.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -201,10 +201,7 @@
                 # From now on a poll either lists the run or the run never starts. The
                 # response says nothing about a newer run that the task may have by
                 # now.
-                if (
-                    _is_current(task, attempt, TaskState.STOPPING)
-                    and not task.started_at
-                ):
+                if task.attempt == attempt and not task.started_at:
                     task.started_at = self._clock.monotonic()
                 return True
             if outcome is OrderOutcome.FENCED:
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -149,6 +149,27 @@
     return lose
 
 
+async def test_a_start_that_is_stopped_under_way_frees_its_worker(deployment):
+    """Guards against a worker that loses its capacity for good: an earlier run has
+    completed the task before the worker has responded to the start of another one."""
+    await start_leader(deployment)
+    await deployment.submit('j')
+    earlier = next(n for n, runner in deployment.runners.items() if runner.running)
+    later = next(name for name in deployment.runners if name != earlier)
+    deployment.runners[earlier].reachable = False
+    deployment.runners[later].start_delay = timedelta(seconds=0.6)
+    # The run is completed while its worker is not reachable.
+    await deployment.wait(2)
+    assert not deployment.runners[earlier].running
+    worker = deployment.leaders['a'].scheduler.fleet.workers[later]
+    while not worker.tasks:
+        await deployment.wait(0.025)
+    deployment.runners[earlier].reachable = True
+    await deployment.wait(10)
+    assert await deployment.state('j') is JobState.COMPLETED
+    assert not worker.tasks
+
+
 async def test_the_outcome_of_stopping_an_unclaimed_run_is_logged(deployment):
     """Guards against a withdrawn run of which no line says whether it was stopped."""
     await start_leader(deployment)
