End the term with a line if a task of the leader fails

What callers would see: jobs that are accepted and never start, and cancellations without effect, while a leader seems to be at work and no log line names an error.

Cause: the leader started the watches of jobs and workers, the renewal of its lease and the watch of the leader key as bare tasks. An exception in one of them, such as a listener that raises, was kept in the task and discarded at the end of the term. Leader.run is a bare task too: an exception in the recovery, such as the ValueError of restore_progress for a record that cannot be read, ended it, and the process never contended again. The sessions of workers that the recovery had opened went on. If the periodic checks of the scheduler failed, the term ended, but Scheduler.run waited until something else woke it.

Change: Scheduler.spawn, which logs child_failed and ends the term, runs these tasks too. Any other exception of a campaign or a term is logged as term_failed with the error and its cause, each time; the term ends, its lease is revoked, and the process contends again after 1 s. Scheduler.close cancels the background tasks also if `run` was not reached, and the end of a failed one wakes `run`. This works because every coroutine of a term now has an owner that sees its exception, and the next term recovers from the store.

A record that cannot be read is not skipped: it makes every leader fail until it is repaired, and each attempt says so.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -1,12 +1,12 @@
 """Campaigns for leadership and schedules while this process is the leader."""
 
-import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from datetime import timedelta
+from typing import Any, Final, Protocol
 
 from result import Err
 
-from chiveworks.base import Clock, JobId, cancel_all
+from chiveworks.base import Clock, JobId
 from chiveworks.dispatch._scheduler import Scheduler
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.events import EventLog
@@ -21,6 +21,9 @@
 )
 from chiveworks.workflow import JobState, Submission, TaskState, decode_record
 
+#: Pause after a term that an error ended, in which other processes may lead.
+FAILED_TERM_PAUSE: Final = timedelta(seconds=1)
+
 _Record = Submission | JobState
 
 
@@ -65,32 +68,44 @@
         self.scheduler: Scheduler | None = None
 
     async def run(self) -> None:
-        """Campaigns and leads until cancelled."""
+        """Campaigns and leads until cancelled; an error ends only the term."""
         while True:
-            self._term = await self._election.campaign()
-            await self._lead(self._term)
+            try:
+                await self._run_term()
+            except Exception as error:
+                self._log.write(
+                    'term_failed', error=repr(error), cause=repr(error.__cause__)
+                )
+                await self._clock.sleep(FAILED_TERM_PAUSE)
 
     async def resign(self) -> None:
         """Gives up the leadership if this process holds it."""
         if self._term is not None and self._term.valid:
             await self._term.resign()
 
+    async def _run_term(self) -> None:
+        self._term = await self._election.campaign()
+        try:
+            await self._lead(self._term)
+        except Exception as error:
+            self._term.end(f'an error ended the term: {error!r}')
+            await self._term.resign()
+            raise
+
     async def _lead(self, term: Term) -> None:
-        background = [
-            asyncio.create_task(term.renew_until_lost()),
-            asyncio.create_task(self._election.watch_term(term)),
-        ]
         scheduler = self._create_scheduler(term)
         try:
             self.scheduler = scheduler
-            watches = await self._recover(term, scheduler)
-            background.extend(asyncio.create_task(work) for work in watches)
+            scheduler.spawn(term.renew_until_lost())
+            scheduler.spawn(self._election.watch_term(term))
+            for watch in await self._recover(term, scheduler):
+                scheduler.spawn(watch)
             await scheduler.run()
             # The scheduler may notice the end before the renewal of the lease does.
             term.end('the lease was not renewed in time')
         finally:
             self.scheduler = None
-            await cancel_all(background)
+            await scheduler.close()
 
     async def _recover(
         self, term: Term, scheduler: Scheduler
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -86,10 +86,10 @@
         self._unsent_claims: dict[JobId, list[Task]] = {}
         self.writer = ProgressWriter(term, clock, self._on_durable)
         self.fleet = Fleet(
-            clock, log, bounds.lease_limit, connect, self._open_session, self._spawn
+            clock, log, bounds.lease_limit, connect, self._open_session, self.spawn
         )
         self.orders = Orders(
-            term, clock, log, self.fleet.workers, self._on_released, self._spawn
+            term, clock, log, self.fleet.workers, self._on_released, self.spawn
         )
         self.table = JobTable(
             clock, log, self.writer, self.orders.stop, bounds.early_limit
@@ -126,21 +126,22 @@
 
     async def run(self) -> None:
         """Schedules until the term is lost."""
-        self._spawn(self._write_progress())
-        self._spawn(self._tick())
-        self._spawn(self._tickets.run())
-        try:
-            while self._term.valid:
-                await self._wake.wait()
-                self._wake.clear()
-                began_at = self._clock.monotonic()
-                self._assign()
-                took = self._clock.monotonic() - began_at
-                await self._clock.sleep(max(MIN_ROUND_PAUSE, took))
-        finally:
-            # A child task may have spawned another one before it ended.
-            while self._children:
-                await cancel_all(tuple(self._children))
+        self.spawn(self._write_progress())
+        self.spawn(self._tick())
+        self.spawn(self._tickets.run())
+        while self._term.valid:
+            await self._wake.wait()
+            self._wake.clear()
+            began_at = self._clock.monotonic()
+            self._assign()
+            took = self._clock.monotonic() - began_at
+            await self._clock.sleep(max(MIN_ROUND_PAUSE, took))
+
+    async def close(self) -> None:
+        """Cancels all background tasks, whether or not `run` was called."""
+        # A child task may have spawned another one before it ended.
+        while self._children:
+            await cancel_all(tuple(self._children))
 
     def accept(self, submission: Submission, progress: bytes | None = None) -> None:
         """Adds a new job, or cancels a known one if its submission was cancelled."""
@@ -164,6 +165,13 @@
         """Requests an assignment round."""
         self._wake.set()
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs a coroutine until `close`; an error in it is logged and ends the term."""
+        child = asyncio.create_task(work)
+        self._children.add(child)
+        child.add_done_callback(self._on_child_done)
+        return child
+
     def _reconcile_restored(self, job: Job) -> None:
         """Ends a restored job if it is complete; stops the runs of an ended one."""
         if job.completed and not job.state.terminal:
@@ -221,12 +229,6 @@
             self._term, self._clock, self._log, worker, self.tracker, self._on_report
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        child = asyncio.create_task(work)
-        self._children.add(child)
-        child.add_done_callback(self._on_child_done)
-        return child
-
     def _on_child_done(self, child: asyncio.Task[None]) -> None:
         self._children.discard(child)
         if child.cancelled():
@@ -235,6 +237,7 @@
         if error is not None:
             self._log.write('child_failed', error=repr(error))
             self._term.end(f'a scheduler background task failed: {error!r}')
+            self._wake.set()
 
     async def _write_progress(self) -> None:
         with contextlib.suppress(TermLostError):
