Cancel a gang with many unsent members without recursion

What callers would see: the cancellation of a gang of some hundred members whose claims are not durable yet ends the leader's term (child_failed with RecursionError).

Cause: Orders.stop releases a run whose claim was not sent at once, and Scheduler._on_released then stopped the other members of the gang, each of which was released in the same way, one call deeper. TASK_LIMIT allows 10,000 members. When the calls returned, JobTable went on with members that had been released meanwhile, and each was logged as a stop without a known worker.

Change: while the members of a gang are being stopped, a release of one of them does not stop the others again. JobTable stops only tasks that are still active. This works because the first release visits every member in a loop, within one step of the event loop, so no member can be claimed in between.

--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -190,5 +190,6 @@
             for run in runs:
                 self.ready.pop(run, None)
         for task in job.active_tasks():
-            if task.state is not TaskState.STOPPING:
+            # The stop of one member of a gang may have released the others.
+            if task.active and task.state is not TaskState.STOPPING:
                 self._stop(task, state.value)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -32,6 +32,7 @@
 from chiveworks.workflow import (
     Job,
     JobState,
+    StepRun,
     Submission,
     Task,
     TaskState,
@@ -84,6 +85,7 @@
         self._ended: deque[tuple[timedelta, JobId]] = deque()
         self._published: dict[str, bytes] = {}
         self._unsent_claims: dict[JobId, list[Task]] = {}
+        self._stopping_gangs: set[StepRun] = set()
         self.writer = ProgressWriter(term, clock, self._on_durable)
         self.fleet = Fleet(
             clock, log, bounds.lease_limit, connect, self._open_session, self.spawn
@@ -211,11 +213,18 @@
         self.tracker.release(worker, task, reason)
         if reason == OrderOutcome.NO_TICKET.value:
             self._tickets.forget(task.step_run)
-        if task.spec.gang:
-            # The other members cannot run without this one.
-            for member in task.step_run.tasks:
-                if member.state in {TaskState.CLAIMED, TaskState.RUNNING}:
-                    self.orders.stop(member, 'a member of the gang was not started')
+        if task.spec.gang and task.step_run not in self._stopping_gangs:
+            self._stop_gang(task.step_run)
+
+    def _stop_gang(self, run: StepRun) -> None:
+        """Stops the members of a gang, which cannot run without a released one."""
+        # A stop releases a member at once if its claim was not sent; such a release must
+        # not stop the other members again.
+        self._stopping_gangs.add(run)
+        for member in run.tasks:
+            if member.state in {TaskState.CLAIMED, TaskState.RUNNING}:
+                self.orders.stop(member, 'a member of the gang was not started')
+        self._stopping_gangs.discard(run)
 
     def _on_report(self, worker: WorkerView) -> None:
         session = self.fleet.sessions.get(worker.worker_id)
