Remove the records of ended jobs whichever leader ended them

What callers would see: nothing at first; the store and the listing that every new leader reads grow with each change of leader, and the state of some jobs can be queried for good.

Cause: the records due for removal were a list of the leader that had ended the jobs. It ended with the term, and the next leader passed over final states that it read.

Change: a leader notes every final state that it reads, and removes it after twice the retention, as before. The leader's own writes come back through the watch, so there is one source, and each record is noted once. The age counts from the first read under this leader, since a record does not say when its job ended; it is thus kept for longer than before, never for less time. A record that is removed or replaced is no longer noted.

Evidence: test_the_next_leader_removes_the_records_of_jobs_that_ended_before fails without the change. So does test_a_job_submitted_again_after_its_record_was_deleted_is_kept: the list was not updated if a record was deleted by hand, and the record of an open job with the same id was removed. The tests of the leader's own records and of a repeated listing passed before. The tests use a retention of 10 s.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -123,6 +123,8 @@
         )
 
         def accept_record(name: str, record: _Record | None) -> None:
+            final = isinstance(record, JobState)
+            scheduler.final_records.observe(JobId(name), final=final)
             if isinstance(record, Submission):
                 scheduler.accept(record, progress.pop(name, None))
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any, Final
@@ -13,6 +12,7 @@
 from chiveworks.dispatch._bounds import SchedulingBounds
 from chiveworks.dispatch._consolidator import Consolidator
 from chiveworks.dispatch._drainer import Drainer
+from chiveworks.dispatch._final_records import FinalRecords
 from chiveworks.dispatch._fleet import Fleet
 from chiveworks.dispatch._health import WorkerHealth
 from chiveworks.dispatch._interference_guard import InterferenceGuard
@@ -28,7 +28,7 @@
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.metastore import PENDING_KEY, PRESSURE_KEY, Term, TermLostError, job_key
+from chiveworks.metastore import PENDING_KEY, PRESSURE_KEY, Term, TermLostError
 from chiveworks.workflow import (
     Job,
     JobState,
@@ -79,14 +79,13 @@
         self._term = term
         self._clock = clock
         self._log = log
-        self._bounds = bounds
         self._wake = asyncio.Event()
         self._children: set[asyncio.Task[None]] = set()
-        self._ended: deque[tuple[timedelta, JobId]] = deque()
         self._published: dict[str, bytes] = {}
         self._unsent_claims: dict[JobId, list[Task]] = {}
         self._stopping_gangs: set[StepRun] = set()
         self.writer = ProgressWriter(term, clock, self._on_durable)
+        self.final_records = FinalRecords(clock, self.writer, 2 * bounds.retention)
         self.fleet = Fleet(
             clock, log, bounds.lease_limit, connect, self._open_session, self.spawn
         )
@@ -207,7 +206,6 @@
             if not job.active_tasks():
                 self.table.forget(job)
                 self._tickets.forget_job(job)
-                self._ended.append((self._clock.monotonic(), job.job_id))
 
     def _on_released(self, worker: WorkerView, task: Task, reason: str) -> None:
         self.tracker.release(worker, task, reason)
@@ -286,5 +284,4 @@
             self.writer.put(key, packed)
 
     def _remove_old_records(self, now: timedelta) -> None:
-        while self._ended and now - self._ended[0][0] > 2 * self._bounds.retention:
-            self.writer.remove(job_key(self._ended.popleft()[1]))
+        self.final_records.remove_old(now)
