Pause after a term that a failed background task ended

What callers would see: nothing after a single error; after an error that every term has, such as a renewal that always raises, a process that takes the leadership hundreds of times a second, recovers all jobs each time, and never leaves it to another process.

Cause: the end of a term by child_failed left the lease to the store, and the process contended again at once; it may replace its own last term before the lease has expired. Since the renewal and the watches count as background tasks of the scheduler, an error in the first renewal ends the term within milliseconds instead of after 1.3 s.

Change: Scheduler.run raises the error of the first background task that failed. Leader then handles it like any other error of a term: term_failed, the lease is revoked, and a pause of 1 s, in which another process may lead.

Evidence: test_a_background_task_that_always_fails_causes_no_busy_loop and test_a_term_whose_background_task_failed_is_given_up fail without the change.

--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -81,6 +81,7 @@
         self._log = log
         self._wake = asyncio.Event()
         self._children: set[asyncio.Task[None]] = set()
+        self._failure: BaseException | None = None
         self._published: dict[str, bytes] = {}
         self._unsent_claims: dict[JobId, list[Task]] = {}
         self._stopping_gangs: set[StepRun] = set()
@@ -126,7 +127,11 @@
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
     async def run(self) -> None:
-        """Schedules until the term is lost."""
+        """Schedules until the term is lost.
+
+        Raises:
+            Exception: Error of the first background task that failed.
+        """
         self.spawn(self._write_progress())
         self.spawn(self._tick())
         self.spawn(self._tickets.run())
@@ -137,6 +142,8 @@
             self._assign()
             took = self._clock.monotonic() - began_at
             await self._clock.sleep(max(MIN_ROUND_PAUSE, took))
+        if self._failure is not None:
+            raise self._failure
 
     async def close(self) -> None:
         """Cancels all background tasks, whether or not `run` was called."""
@@ -242,6 +249,7 @@
             return
         error = child.exception()
         if error is not None:
+            self._failure = self._failure or error
             self._log.write('child_failed', error=repr(error))
             self._term.end(f'a scheduler background task failed: {error!r}')
             self._wake.set()
--- a/chiveworks/dispatch/tests/test_leader_failures.py
+++ b/chiveworks/dispatch/tests/test_leader_failures.py
@@ -64,6 +64,28 @@
     assert await deployment.state('j') is JobState.COMPLETED
 
 
+async def test_a_background_task_that_always_fails_causes_no_busy_loop(deployment):
+    """Guards against hundreds of terms a second, each with a recovery, after an error
+    that every term has."""
+    _fail_always(deployment.store, 'renew_lease')
+    deployment.process('a')
+    await deployment.wait(10)
+    terms = len(deployment.log.named('leadership_gained'))
+    assert 5 <= terms <= 10
+    assert len(deployment.log.named('child_failed')) == terms
+
+
+async def test_a_term_whose_background_task_failed_is_given_up(deployment):
+    """Guards against a process that leads again at once after an error that only it
+    has, while another process could lead."""
+    await start_leader(deployment, 'a')
+    _fail_once(deployment.leaders['a'].scheduler, '_publish_pending')
+    deployment.process('b')
+    await deployment.wait(1.5)
+    assert deployment.log.named('child_failed')
+    assert deployment.log.named('leadership_gained')[-1]['process'] == 'b'
+
+
 async def test_a_leader_that_fails_to_recover_contends_again_after_a_pause(deployment):
     """Guards against a process that never contends again, or does so without a pause,
     and against an error that is logged once although it ends every term."""
