Send a stop again for a listed run of a cancelled job in a shard

What callers saw: a task of a job ran on to its own end after the cancellation had been acknowledged, if the stop was lost or had no effect, under the same owner or the next.

Cause: JobRegistrar.cancel sends one stop. SessionManager.stop_task gives up on an error or without a session; Reconciler takes a listed run as wanted, whatever job.cancelled says. The next owner replays the cancellation but sends nothing. A cancellation within stop_repeat (3 s) after the stop of an eviction sends no stop at all.

A stop that is not confirmed is logged. The stop on cancellation stays, so that the usual case waits for no report.

MemoryWorkerControl can lose or ignore stops.

Not changed: an eviction by ServiceProtection whose stop is lost is not repeated by the same owner, since the task stays in STOPPING and is passed over. A second copy of a cancelled task that was started by hand can outlast its job's entry in the table; it is then listed as unclaimed instead of being stopped.

--- a/chiveworks/scheduler/_reconcile.py
+++ b/chiveworks/scheduler/_reconcile.py
@@ -132,6 +132,8 @@
             task.state = TaskState.RUNNING
         if task_report.checkpoint:
             task.checkpoint = task_report.checkpoint
+        if self._table.job_of(task.task_id).cancelled:
+            outcome.cancelled.append(task)
         if is_resized(task, task_report):
             self._record_size(report, task, task_report, now, outcome)
 
--- a/chiveworks/scheduler/_session_manager.py
+++ b/chiveworks/scheduler/_session_manager.py
@@ -92,6 +92,12 @@
         stopped = await session.stop(task.task_id, task.attempt, checkpoint=checkpoint)
         if isinstance(stopped, Err):
             _check_epoch(stopped.err_value)
+            _LOG.info(
+                'stop of %s on %s was not confirmed: %s',
+                task.task_id,
+                session.worker,
+                stopped.err_value,
+            )
             return
         # Fetches the report that confirms the end without waiting for the next renewal.
         await session.renew()
@@ -129,6 +135,10 @@
         )
         for task_id in outcome.gone:
             session.forget_task(task_id)
+        for task in outcome.cancelled:
+            # The stop sent on the cancellation may have been lost, or the owner that
+            # sent it may have been replaced.
+            self._background.start(self.stop_task(task, checkpoint=False))
         for task_id, attempt in outcome.stale:
             self._background.start(_stop_stale(session, task_id, attempt))
         if outcome.changes:
--- a/chiveworks/scheduler/_shard_scheduler.py
+++ b/chiveworks/scheduler/_shard_scheduler.py
@@ -73,7 +73,10 @@
             await self._context.committer.barrier()
 
     def stop_job(self, job: JobRecord) -> None:
-        """Asks the workers to stop a cancelled job's running tasks."""
+        """Asks the workers to stop a cancelled job's running tasks.
+
+        A stop without effect is sent again when a report lists the run.
+        """
         for task in job.tasks:
             if task.is_active:
                 self._background.start(
--- a/standins/workers/_memory_worker_control.py
+++ b/standins/workers/_memory_worker_control.py
@@ -18,11 +18,15 @@
         unreachable: Whether every call fails with the verdict "not run".
         drop_answers: Number of commands that take effect but whose responses are
             lost.
+        lose_stops: Whether stops have no effect and get no response.
+        ignored_stops: Number of stops that are accepted but not executed.
     """
 
     worker: SimulatedWorker
     unreachable: bool = False
     drop_answers: int = 0
+    lose_stops: bool = False
+    ignored_stops: int = 0
 
     async def renew(self, renewal: Renewal) -> Result[WorkerReport, Failure | Refusal]:
         """Extends the control lease and returns the worker's report."""
@@ -44,6 +48,12 @@
         """Stops an attempt."""
         if self.unreachable:
             return self._refused_connection()
+        if self.lose_stops:
+            peer = self.worker.spec.worker_id
+            return Err(Failure.unknown(Step.STOP, peer, 'no response'))
+        if self.ignored_stops > 0:
+            self.ignored_stops -= 1
+            return Ok(None)
         outcome = self.worker.stop(epoch, task_id, attempt, checkpoint=checkpoint)
         return self._respond(outcome, Step.STOP)
 
