Limit log lines by event and queue

Operators could not follow lasting tasks on grown deployments: the limit of 200 lines a second was per event, and frequent starts and ends of batch tasks used it up, so lines of task_claimed, run_started and run_ended of quiet queues were dropped as well.

Change: lines with a queue field have the limit of 200 per event and queue. All queues together write at most 400 lines of an event a second, and beyond that only the first 20 of each queue, so the total stays bounded by the number of queues. log_lines_dropped still counts by event. run_started, run_ended, run_lost, run_stopping, stop_sent, start_refused and run_paced name the queue where the task is known (a stop of a run that matches no claim has none). No metric changes: EventMetrics reads queue only for waited_ms and duration_ms, which these lines do not have.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -196,7 +196,9 @@
             sends += 1
             # The repetitions in between, every 100 ms, are not logged.
             if sends == 1 or outcome in _LAST_STOP_OUTCOMES:
-                self._log_stop(worker, task.ref, attempt, outcome, sends)
+                self._log_stop(
+                    worker, task.ref, attempt, outcome, sends=sends, queue=_queue(task)
+                )
             if outcome in _CERTAINLY_STOPPED:
                 # From now on a poll either lists the run or the run never starts. The
                 # response says nothing about a newer run that the task may have by
@@ -213,7 +215,7 @@
         self._log_run('run_withdrawn', worker.worker_id, ref, attempt)
         if self._term.valid:
             outcome = await worker.control.stop(ref, attempt, self._term.token)
-            self._log_stop(worker, ref, attempt, outcome, 1)
+            self._log_stop(worker, ref, attempt, outcome, sends=1)
         await self._clock.sleep(RETRY_PAUSE * 3)
         self._withdrawing.discard((worker.worker_id, ref, attempt))
 
@@ -236,7 +238,7 @@
         ref: TaskRef,
         attempt: int,
         outcome: OrderOutcome,
-        sends: int,
+        **fields: object,
     ) -> None:
         self._log_run(
             'stop_sent',
@@ -244,13 +246,20 @@
             ref,
             attempt,
             outcome=outcome.value,
-            sends=sends,
+            **fields,
         )
 
     def _log_order(
         self, event: str, task: Task, worker: WorkerView, **fields: object
     ) -> None:
-        self._log_run(event, worker.worker_id, task.ref, task.attempt, **fields)
+        self._log_run(
+            event,
+            worker.worker_id,
+            task.ref,
+            task.attempt,
+            queue=_queue(task),
+            **fields,
+        )
 
     def _log_run(
         self,
@@ -281,3 +290,7 @@
 
 def _worker_of(task: Task) -> WorkerId:
     return task.worker or WorkerId('')
+
+
+def _queue(task: Task) -> str:
+    return task.step_run.job.queue.name
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -74,6 +74,7 @@
             task=task.ref[1:],
             attempt=task.attempt,
             worker=worker.worker_id,
+            queue=task.step_run.job.queue.name,
             reason=reason,
         )
         worker.remove(task)
@@ -118,6 +119,7 @@
             task=task.ref[1:],
             attempt=end.attempt,
             worker=worker.worker_id,
+            queue=task.step_run.job.queue.name,
             how=end.kind.value,
             current=current,
         )
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -264,3 +264,15 @@
         if entry[0] == 'start'
     }
     assert attempts == {1}
+
+
+async def test_lines_about_runs_name_the_queue(deployment):
+    """Guards against lines of a quiet queue that share the limit of a busy one."""
+    await start_leader(deployment)
+    await deployment.submit('j', StepSpec(1, CORE))
+    await deployment.intake.cancel(JobId('j'))
+    await deployment.submit('k', StepSpec(1, CORE))
+    await deployment.wait(3)
+    for event in ('run_started', 'run_stopping', 'stop_sent', 'run_ended'):
+        lines = deployment.log.named(event)
+        assert {line.get('queue') for line in lines} == {'urgent'}, event
--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -10,8 +10,15 @@
 
 from chiveworks.base import Clock
 
-#: Maximum number of lines per second for each event; further ones are dropped.
+#: Maximum number of lines per second for each event, or for each event and queue of
+#: lines that name a queue; further ones are dropped.
 LINES_PER_SECOND: Final = 200
+#: Number of lines of an event per second, over all queues, above which each queue gets
+#: only `QUIET_QUEUE_LINES`. It bounds the leader's work if many queues are busy.
+EVENT_LINES_PER_SECOND: Final = 400
+#: Number of lines per second that each event and queue may write however busy the
+#: other queues are.
+QUIET_QUEUE_LINES: Final = 20
 _SECOND = timedelta(seconds=1)
 
 
@@ -19,8 +26,9 @@
     """Writes events as JSON lines to a file descriptor.
 
     Writes never block: a line that does not fit into the pipe buffer is dropped.
-    Dropped lines are counted by event, and the counts are logged about once a
-    second.
+    Lines with a `queue` field are limited by event and queue, others by event, so that
+    a busy queue does not displace the lines of a quiet one. Dropped lines are counted
+    by event, and the counts are logged about once a second.
 
     Args:
         clock: Source of time.
@@ -38,6 +46,7 @@
         self._descriptor = descriptor
         self._fields = fields
         self._window_at = timedelta()
+        self._counts: Counter[tuple[str, str]] = Counter()
         self._written: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
         self._observers: list[Callable[[str, dict[str, object]], None]] = []
@@ -57,13 +66,24 @@
         now = self._clock.monotonic()
         if now - self._window_at >= _SECOND:
             self._start_window(now)
-        self._written[event] += 1
-        over_limit = self._written[event] > LINES_PER_SECOND
-        if over_limit or not self._emit(event, fields):
+        if not (self._may_write(event, fields) and self._emit(event, fields)):
             self.dropped[event] += 1
 
+    def _may_write(self, event: str, fields: dict[str, object]) -> bool:
+        """Counts a line; tells whether it is within the limits of this second."""
+        key = (event, str(fields.get('queue', '')))
+        self._counts[key] += 1
+        count = self._counts[key]
+        if count > LINES_PER_SECOND:
+            return False
+        if count > QUIET_QUEUE_LINES and self._written[event] >= EVENT_LINES_PER_SECOND:
+            return False
+        self._written[event] += 1
+        return True
+
     def _start_window(self, now: timedelta) -> None:
         self._window_at = now
+        self._counts.clear()
         self._written.clear()
         if self.dropped and self._emit('log_lines_dropped', {'counts': self.dropped}):
             self.dropped.clear()
--- a/chiveworks/events/tests/test_event_log.py
+++ b/chiveworks/events/tests/test_event_log.py
@@ -3,11 +3,18 @@
 import json
 import os
 import time
+from collections import Counter
 from datetime import timedelta
 
+import pytest
+
 from chiveworks.base import ManualClock
 from chiveworks.events import EventLog
-from chiveworks.events._event_log import LINES_PER_SECOND
+from chiveworks.events._event_log import (
+    EVENT_LINES_PER_SECOND,
+    LINES_PER_SECOND,
+    QUIET_QUEUE_LINES,
+)
 
 
 def read_lines(descriptor):
@@ -59,3 +66,48 @@
     assert {'busy': 7} in [line.get('counts') for line in lines]
     os.close(reader)
     os.close(writer)
+
+
+@pytest.fixture
+def written_lines():
+    """A log, its clock, and a function that returns the lines written since."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = EventLog(clock, {}, writer)
+    log.open()
+    clock.shift(timedelta(seconds=2))
+    yield log, clock, lambda: read_lines(reader)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_busy_queue_leaves_the_lines_of_a_quiet_one(written_lines):
+    """Guards against lines of lasting tasks that are dropped because batch tasks of
+    another queue start often."""
+    log, clock, read = written_lines
+    for _ in range(LINES_PER_SECOND + 7):
+        log.write('run_started', queue='busy')
+    for _ in range(QUIET_QUEUE_LINES):
+        log.write('run_started', queue='quiet')
+    counts = Counter(line['queue'] for line in read())
+    assert counts == {'busy': LINES_PER_SECOND, 'quiet': QUIET_QUEUE_LINES}
+    clock.shift(timedelta(seconds=1))
+    log.write('run_started', queue='busy')
+    assert {'run_started': 7} in [line.get('counts') for line in read()]
+
+
+def test_the_lines_of_all_queues_of_an_event_are_bounded(written_lines):
+    """Guards against a leader that spends its time on log lines if many queues are
+    busy, and against a queue without any line in that case."""
+    log, _clock, read = written_lines
+    busy = 5
+    for _ in range(LINES_PER_SECOND + 7):
+        for number in range(busy):
+            log.write('run_started', queue=f'busy{number}')
+    for _ in range(QUIET_QUEUE_LINES + 7):
+        log.write('run_started', queue='quiet')
+    counts = Counter(line['queue'] for line in read())
+    assert counts.pop('quiet') == QUIET_QUEUE_LINES
+    assert sum(counts.values()) == EVENT_LINES_PER_SECOND
+    dropped = busy * (LINES_PER_SECOND + 7) + 7 - EVENT_LINES_PER_SECOND
+    assert log.dropped == {'run_started': dropped}
