Log the time since a task last began to wait with its claim

Operators saw only the time since the acceptance of the job (waited_ms), so a claim after an interruption did not show how long the task had been without a run: a lasting task that was interrupted once had a waited_ms of 54380 whatever its last wait was.

Change: task_claimed has waiting_ms, the time since Task.waiting_since, and cpu_millicores, the demand of the task, with which claims of smaller tasks can be told from claims of equal ones. waited_ms and its histogram stay as they were.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -138,6 +138,7 @@
     def _log_claim(self, task: Task) -> None:
         worker = self._placer.worker_of(task)
         job = task.step_run.job
+        now = self._clock.monotonic()
         self._log.write(
             'task_claimed',
             job=task.ref.job_id,
@@ -145,7 +146,9 @@
             attempt=task.attempt,
             worker=task.worker,
             queue=job.queue.name,
-            waited_ms=(self._clock.monotonic() - job.seen_at) // _MILLISECOND,
+            waited_ms=(now - job.seen_at) // _MILLISECOND,
+            waiting_ms=(now - task.waiting_since) // _MILLISECOND,
+            cpu_millicores=task.spec.demand.cpu_millicores,
             free_millicores=worker
             and worker.info.capacity.cpu_millicores - worker.allocated.cpu_millicores,
         )
--- a/chiveworks/dispatch/tests/test_dispatch.py
+++ b/chiveworks/dispatch/tests/test_dispatch.py
@@ -276,3 +276,24 @@
     for event in ('run_started', 'run_stopping', 'stop_sent', 'run_ended'):
         lines = deployment.log.named(event)
         assert {line.get('queue') for line in lines} == {'urgent'}, event
+
+
+async def test_a_claim_tells_how_long_the_task_waited_since_its_last_run(deployment):
+    """Guards against claims of interrupted tasks that only show the age of the job."""
+    await start_leader(deployment)
+    for runner in deployment.runners.values():
+        runner._duration = timedelta(seconds=60)
+    await deployment.submit('j', StepSpec(1, CORE, long_running=True))
+    await deployment.wait(5)
+    silent = next(n for n, runner in deployment.runners.items() if runner.running)
+    (other,) = set(deployment.runners) - {silent}
+    deployment.change_worker(other, draining=True)
+    deployment.runners[silent].reachable = False
+    await deployment.wait(10)
+    deployment.change_worker(other, draining=False)
+    await deployment.wait(1)
+    first, second = deployment.log.named('task_claimed')
+    assert first['waiting_ms'] < 100
+    assert second['waited_ms'] > 15_000
+    assert 1000 < second['waiting_ms'] < 5000
+    assert second['cpu_millicores'] == 1000
