Log why lasting tasks wait

Operators could not see what a round decided about a waiting task: a lasting task had no line from the end of one run to its next claim, for 10 to 40 s, with capacity free.

Change: WaitLog writes task_passed_over for step runs of lasting steps whose longest waiting task has waited for more than 1 s, with the reason, the demand, the reserved worker and the free capacity of the candidates. fitting counts the candidates with enough free resources; moving_millicores is the sum that moves have reserved. The reason also tells a task whose step was tried but whose turn did not come, because an earlier task of the step did not fit. No scheduling decision changes.

More than 20 waiting steps get their lines less often, in turn. State is dropped in the round after a step run stops waiting.

EventMetrics recorded waited_ms of any event as the wait of a claim, so the new line would have counted in that histogram once a second; now only task_claimed counts.

Tests: each reason, the interval, the sharing, no lines for short tasks, the dropped state, the histogram, the timeline.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -9,6 +9,7 @@
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._wait_log import WaitLog, WaitReason
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.workflow import Job, StepRun, StepSpec, Task
@@ -21,7 +22,7 @@
 
     Args:
         clock: Source of time.
-        log: Event log for claims.
+        log: Event log for claims and for lasting tasks that wait.
         table: Open jobs and their waiting steps.
         placer: Picks workers.
         service_of: Returns the service that currently runs a job's tasks.
@@ -43,6 +44,7 @@
         self._placer = placer
         self._service_of = service_of
         self._tickets = tickets
+        self._wait_log = WaitLog(clock, log, placer)
 
     def assign(self) -> list[Task]:
         """Claims workers for all waiting tasks that fit; returns the tasks."""
@@ -55,10 +57,11 @@
                 self._table.ready.pop(run, None)
                 continue
             service = self._service_of(run.job)
-            if not _cannot_fit(run, unplaced[service]):
-                claimed.extend(
-                    self._assign_run(run, waiting, service, unplaced[service])
-                )
+            if _cannot_fit(run, unplaced[service]):
+                self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
+                continue
+            claimed.extend(self._assign_run(run, waiting, service, unplaced[service]))
+        self._wait_log.retain(self._table.ready)
         return claimed
 
     def _assign_run(
@@ -70,6 +73,7 @@
     ) -> list[Task]:
         if run.spec.gang and len(waiting) < run.spec.count:
             # Some members of the previous run have not ended yet.
+            self._wait_log.passed_over(run, service, WaitReason.GANG_NOT_ENDED)
             return []
         if run.spec.gang:
             run.share_checkpoint()
@@ -79,8 +83,10 @@
         claimed = self._claim_in_groups(run, waiting, candidates)
         if len(claimed) == len(waiting):
             self._table.ready.pop(run, None)
-        elif _unconstrained(run):
-            unplaced.append(run.spec)
+        else:
+            self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
+            if _unconstrained(run):
+                unplaced.append(run.spec)
         for task in claimed:
             self._log_claim(task)
         return claimed
--- a/chiveworks/events/_event_metrics.py
+++ b/chiveworks/events/_event_metrics.py
@@ -93,7 +93,8 @@
         self._events.add(1, {**self._zone, 'event': event, 'outcome': str(outcome)})
         queue = {**self._zone, 'queue': str(fields.get('queue', ''))}
         waited_ms, duration_ms = fields.get('waited_ms'), fields.get('duration_ms')
-        if isinstance(waited_ms, int):
+        # Other events that have `waited_ms` are not claims.
+        if event == 'task_claimed' and isinstance(waited_ms, int):
             self._waits.record(waited_ms, queue)
         if isinstance(duration_ms, int):
             self._durations.record(duration_ms, {**queue, 'outcome': event})
--- a/chiveworks/events/tests/test_event_metrics.py
+++ b/chiveworks/events/tests/test_event_metrics.py
@@ -1,4 +1,4 @@
-"""Gauges of the event metrics."""
+"""Gauges and histograms of the event metrics."""
 
 from datetime import timedelta
 
@@ -20,3 +20,19 @@
     ]
     assert [line[-4:] for line in gauges([])] == [' 0.0', ' 0.0']
     assert gauges(None) == []
+
+
+def test_only_claims_count_as_waits():
+    """Guards against a histogram of waits that counts a task that still waits once a
+    second, and against a queue label on the counter of events."""
+    metrics = EventMetrics('p', 'z', dict, lambda: None)
+    metrics.observe('task_claimed', {'queue': 'q', 'waited_ms': 7, 'waiting_ms': 5})
+    metrics.observe('task_passed_over', {'queue': 'q', 'waited_ms': 9000})
+    metrics.observe('run_started', {'queue': 'q'})
+    lines = metrics.render().decode().splitlines()
+    waits = [line for line in lines if line.startswith('chiveworks_task_wait')]
+    assert 'chiveworks_task_wait_milliseconds_count{queue="q",zone="z"} 1.0' in waits
+    assert 'chiveworks_task_wait_milliseconds_sum{queue="q",zone="z"} 7.0' in waits
+    counters = [line for line in lines if line.startswith('chiveworks_events')]
+    assert len(counters) == 3
+    assert not any('queue' in line for line in counters)
--- a/chiveworks/events/tests/test_job_timeline.py
+++ b/chiveworks/events/tests/test_job_timeline.py
@@ -49,6 +49,25 @@
     assert 'not ended' not in build_job_timeline('a', started)[-1].text
 
 
+def test_the_waits_of_a_lasting_task_are_shown():
+    """Guards against a wait that the timeline shows as a period without lines, and
+    against a summary that takes its time for the first claim."""
+    reason = 'no worker has enough free capacity'
+    passed_over = [
+        line(at_s, 'task_passed_over', job='a', waited_ms=50, reason=reason)
+        for at_s in (2.0, 3.0, 4.0, 5.0)
+    ]
+    lines = [
+        line(1.0, 'run_lost', job='a'),
+        *passed_over,
+        line(6.0, 'task_claimed', job='a', waited_ms=7000, waiting_ms=5000),
+    ]
+    texts = [entry.text for entry in build_job_timeline('a', lines)]
+    assert f'task_passed_over waited_ms=50 reason={reason}' in texts
+    assert not any('no line' in text for text in texts)
+    assert texts[-1].endswith('runs lost 1, first claim after 7000 ms')
+
+
 def test_an_unknown_job_has_no_timeline():
     """Guards against an invented timeline for a job without log lines."""
     assert build_job_timeline('c', LINES) == []
