Claim moved tasks on their reserved worker whatever else did not fit

Cause: a round skips each step that is not smaller than one that failed to fit earlier in the round, and ends a step at its first task that does not fit. Both happen before the reservation of a moved task is looked at. The reservation runs out after 4 s, during which its room is idle, and the room then goes to other tasks. The reverse also holds: a task that only waits for its reserved worker marked its step as one that does not fit, so that other steps were skipped although they had room.

Change: of a step that is skipped, the tasks with a reservation are still tried; within a step they are tried first; a step counts as one that does not fit only if a task without a reservation is left.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -58,9 +58,14 @@
                 continue
             service = self._service_of(run.job)
             if _cannot_fit(run, unplaced[service]):
+                # Reserved resources are available whether or not other tasks fit.
+                waiting = [task for task in waiting if task.reserved_worker]
+            if waiting:
+                claimed.extend(
+                    self._assign_run(run, waiting, service, unplaced[service])
+                )
+            else:
                 self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
-                continue
-            claimed.extend(self._assign_run(run, waiting, service, unplaced[service]))
         self._wait_log.retain(self._table.ready)
         return claimed
 
@@ -80,13 +85,16 @@
         candidates = self._placer.candidates(run, service)
         if run.job.queue.advised:
             candidates = self._tickets.allowed(run, candidates)
+        # A task without a reservation that does not fit ends the search for its step.
+        waiting.sort(key=_has_no_reservation)
         claimed = self._claim_in_groups(run, waiting, candidates)
-        if len(claimed) == len(waiting):
-            self._table.ready.pop(run, None)
-        else:
+        left = run.waiting()
+        if left:
             self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
-            if _unconstrained(run):
+            if _unconstrained(run) and any(map(_has_no_reservation, left)):
                 unplaced.append(run.spec)
+        else:
+            self._table.ready.pop(run, None)
         for task in claimed:
             self._log_claim(task)
         return claimed
@@ -186,6 +194,10 @@
     return job.queue.priority, lateness, job.remaining_work
 
 
+def _has_no_reservation(task: Task) -> bool:
+    return task.reserved_worker is None
+
+
 def _claimed_share(workers: list[WorkerView]) -> float:
     """Returns the share of the workers' processors claimed by non-filling tasks."""
     capacity = sum(worker.info.capacity.cpu_millicores for worker in workers)
--- a/chiveworks/dispatch/_wait_log.py
+++ b/chiveworks/dispatch/_wait_log.py
@@ -86,7 +86,7 @@
         self._due_at[run] = now + max(LINE_INTERVAL, shared_interval)
         accepting = self._placer.candidates(run, service)
         if reason is WaitReason.NO_CAPACITY:
-            reason = _refine(waiting, task, now, accepting, permitted)
+            reason = _refine(task, now, accepting, permitted)
         candidates = permitted or accepting
         self._log.write(
             'task_passed_over',
@@ -109,7 +109,6 @@
 
 
 def _refine(
-    waiting: Sequence[Task],
     task: Task,
     now: timedelta,
     accepting: Sequence[WorkerView],
@@ -120,14 +119,7 @@
         return WaitReason.NO_WORKERS
     if task.step_run.job.queue.advised and not permitted:
         return WaitReason.NO_TICKET
-    if task.reserved_worker is None:
-        return WaitReason.NO_CAPACITY
-    # A round ends a step at its first task without a reservation that does not fit;
-    # the later ones are not tried, even if they have a reservation.
-    tried_last = next((each for each in waiting if not each.reserved_worker), task)
-    if tried_last.ref < task.ref:
-        return WaitReason.SMALLER_DID_NOT_FIT
-    if now - task.waiting_since < RESERVED_WAIT:
+    if task.reserved_worker and now - task.waiting_since < RESERVED_WAIT:
         return WaitReason.RESERVED_WORKER
     return WaitReason.NO_CAPACITY
 
