Rank interrupted lasting tasks before other work of their priority

Callers saw LOST: a lasting task whose run had ended (it failed, was moved, its worker left or its lease lapsed) did not run for 10 to 50 s while other work of its priority was started all the time.

Cause: steps rank by whether their job can meet its deadline. The deadline of a lasting job passes seconds after its acceptance, after which its tasks rank behind all other work of their priority. Among themselves such steps ranked by the declared work of their job, which never shrinks, so that tasks of large jobs came last however long they had waited.

Change: a lasting step with a waiting task that has run before ranks first within its priority, the one that has waited longest first. A lasting step never counts as expired.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -1,5 +1,6 @@
 """Claims workers for the waiting tasks that may start."""
 
+import enum
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -17,6 +18,18 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
+class _Lateness(enum.IntEnum):
+    """Rank of a step among those of its priority."""
+
+    #: The run of a lasting task has ended; its users miss it until it runs again.
+    INTERRUPTED = 0
+    #: The job can still meet its deadline.
+    ON_TIME = 1
+    LATE = 2
+    #: The job no longer earns credit.
+    EXPIRED = 3
+
+
 class Assigner:
     """Claims workers for waiting tasks in the order of urgency.
 
@@ -179,19 +192,28 @@
     return sorted(runs, key=lambda run: _urgency(run, now))
 
 
-def _urgency(run: StepRun, now: timedelta) -> tuple[int, int, float]:
+def _urgency(run: StepRun, now: timedelta) -> tuple[int, _Lateness, float]:
     """Returns the sort key of a step run.
 
-    Orders by priority, then by whether the job can meet its deadline, is late but has
-    not expired, or has expired. Among equals the job with the least remaining work
-    comes first, which completes the most jobs in time when capacity is short.
+    Orders by priority, then by lateness. Among interrupted steps the one that has
+    waited longest comes first, among others that of the job with the least remaining
+    work, which completes the most jobs in time when capacity is short.
     """
     job = run.job
-    if job.can_meet_deadline(run.step, now):
-        lateness = 0
-    else:
-        lateness = 1 if now < job.expires_at else 2
-    return job.queue.priority, lateness, job.remaining_work
+    priority = job.queue.priority
+    interrupted_at = run.interrupted_at
+    if interrupted_at is not None:
+        return priority, _Lateness.INTERRUPTED, interrupted_at.total_seconds()
+    return priority, _lateness(run, now), job.remaining_work
+
+
+def _lateness(run: StepRun, now: timedelta) -> _Lateness:
+    if run.job.can_meet_deadline(run.step, now):
+        return _Lateness.ON_TIME
+    # A lasting task does not lose its use when the deadline of its job has passed.
+    if run.spec.long_running or now < run.job.expires_at:
+        return _Lateness.LATE
+    return _Lateness.EXPIRED
 
 
 def _has_no_reservation(task: Task) -> bool:
--- a/chiveworks/workflow/_step_run.py
+++ b/chiveworks/workflow/_step_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from chiveworks.workflow._step_spec import StepSpec
@@ -47,6 +48,21 @@
         """Returns the tasks that have no worker yet."""
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
+    @property
+    def interrupted_at(self) -> timedelta | None:
+        """When the first of the waiting tasks that have run before began to wait.
+
+        None if there is no such task, or if the step is not a lasting one.
+        """
+        if not self.spec.long_running:
+            return None
+        interrupted = (
+            task.waiting_since
+            for task in self.tasks
+            if task.attempt and task.state is TaskState.WAITING
+        )
+        return min(interrupted, default=None)
+
     def next_attempt(self, task: Task) -> int:
         """Returns the attempt number of a task's next run.
 
