Reserve a worker for an interrupted lasting task that smaller tasks starve

Callers saw LOST: a lasting task of several cores whose run had ended did not run for 10 to 50 s while the workers were full, although tasks of a second ended all the time.

Cause: first fit without backfill reservations. Each piece of capacity that becomes free is claimed in the next round by a task that fits into it, whatever its rank, so that a task that needs several pieces on one worker never finds them together. Ranking it first does not help, since only what is free at that moment counts.

Evidence: three tests of test_interrupted_tasks.py; the two with a drained worker still failed with the interrupted task ranked first.

Change: after 0.5 s a worker is reserved for an interrupted lasting task on which it fits beside the other lasting tasks, so that only the ends of short ones have to be waited for. At most an eighth of the workers are reserved, each for 4 s at most. A claim, the end of the job, and a reserved worker that accepts no tasks any more free the reservation; before, a moved task that was placed elsewhere kept its first reservation for up to 2.5 s.

The tests above pass; test_reserved_workers.py tests the ends of reservations.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -82,6 +82,13 @@
         self._wait_log.retain(self._table.ready)
         return claimed
 
+    def candidates(self, run: StepRun) -> list[WorkerView]:
+        """Returns the workers on which tasks of a step may start; ignores capacity."""
+        workers = self._placer.candidates(run, self._service_of(run.job))
+        if run.job.queue.advised:
+            return self._tickets.allowed(run, workers)
+        return workers
+
     def _assign_run(
         self,
         run: StepRun,
@@ -95,9 +102,7 @@
             return []
         if run.spec.gang:
             run.share_checkpoint()
-        candidates = self._placer.candidates(run, service)
-        if run.job.queue.advised:
-            candidates = self._tickets.allowed(run, candidates)
+        candidates = self.candidates(run)
         # A task without a reservation that does not fit ends the search for its step.
         waiting.sort(key=_has_no_reservation)
         claimed = self._claim_in_groups(run, waiting, candidates)
@@ -144,6 +149,7 @@
         for task in waiting:
             worker = self._choose(task, workers, ranking)
             if worker is not None:
+                self._placer.free_reservation(task)
                 task.claim(worker.worker_id)
                 worker.add(task)
                 ranking.refresh(worker)
--- a/chiveworks/dispatch/_consolidator.py
+++ b/chiveworks/dispatch/_consolidator.py
@@ -94,8 +94,8 @@
             abandoned = now - move.began_at > MOVE_TIMEOUT or run.job.state.terminal
             if abandoned or (task.reserved_worker is None and _is_working(task)):
                 self._moves.pop(run)
-                move.target.free_reservation(task)
-                task.reserved_worker = None
+                if task.reserved_worker == move.target.worker_id:
+                    self._placer.free_reservation(task)
         cooled_down = [
             task for task, at in self._moved_at.items() if now - at > MOVE_COOLDOWN
         ]
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -153,7 +153,7 @@
         """
         worker = self._workers.get(task.reserved_worker or WorkerId(''))
         if worker is None or worker not in candidates:
-            task.reserved_worker = None
+            self.free_reservation(task)
             return None
         worker.free_reservation(task)
         if fits(worker, task.spec) and not self._is_excluded(worker, task):
@@ -162,6 +162,13 @@
         worker.reserve(task)
         return None
 
+    def free_reservation(self, task: Task) -> None:
+        """Frees the resources that are reserved for a task, if any."""
+        worker = self._workers.get(task.reserved_worker or WorkerId(''))
+        if worker is not None:
+            worker.free_reservation(task)
+        task.reserved_worker = None
+
     def has_better_worker(self, worker: WorkerView, task: Task) -> bool:
         """Tells whether a filling task could run elsewhere without interference."""
         return any(
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -23,6 +23,7 @@
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._run_tracker import RunTracker
 from chiveworks.dispatch._stall_detector import StallDetector
+from chiveworks.dispatch._starvation_guard import StarvationGuard
 from chiveworks.dispatch._worker_control import OrderOutcome, WorkerControl
 from chiveworks.dispatch._worker_info import WorkerInfo
 from chiveworks.dispatch._worker_session import WorkerSession
@@ -124,6 +125,9 @@
             self.model,
             self.table.filling_tasks_wait,
         )
+        self._starvation_guard = StarvationGuard(
+            clock, log, self.table, self.fleet.workers, self._assigner.candidates
+        )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
     async def run(self) -> None:
@@ -273,7 +277,8 @@
             self._drainer.check()
             self._stalls.check()
             self._consolidator.check()
-            self._remove_old_records(now)
+            self._starvation_guard.check()
+            self.final_records.remove_old(now)
             if now - published_at > PENDING_INTERVAL:
                 published_at = now
                 self._publish_pending()
@@ -290,6 +295,3 @@
         if self._published.get(key) != packed:
             self._published[key] = packed
             self.writer.put(key, packed)
-
-    def _remove_old_records(self, now: timedelta) -> None:
-        self.final_records.remove_old(now)
