Place overdue filling tasks that a newer one would hold back

Callers saw LOST: filling tasks that could run were not started although most of the room was free.

A filling task waits for up to 2.5 s for a worker that it would not disturb; after that it takes any worker with room. Which of the two holds was decided by the first waiting task of the step, by position, so that an evicted task, which begins to wait anew, held back all later ones. A step was also skipped if a newer one of the same image, which might still wait, found no worker.

Change: a step is searched in the order in which its tasks began to wait, and workers are rated anew where tasks that may wait follow. Steps that found no worker while they might wait are no reason to skip one that is overdue. The ranking of steps and the list of steps that did not fit are in files of their own.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -1,6 +1,5 @@
 """Claims workers for the waiting tasks that may start."""
 
-import enum
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -10,6 +9,8 @@
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._unplaced_steps import UnplacedSteps
+from chiveworks.dispatch._urgency import by_urgency
 from chiveworks.dispatch._wait_log import WaitLog, WaitReason
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -18,18 +19,6 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-class _Lateness(enum.IntEnum):
-    """Rank of a step among those of its priority."""
-
-    #: The run of a lasting task has ended; its users miss it until it runs again.
-    INTERRUPTED = 0
-    #: The job can still meet its deadline.
-    ON_TIME = 1
-    LATE = 2
-    #: The job no longer earns credit.
-    EXPIRED = 3
-
-
 class Assigner:
     """Claims workers for waiting tasks in the order of urgency.
 
@@ -63,14 +52,16 @@
         """Claims workers for all waiting tasks that fit; returns the tasks."""
         now = self._clock.monotonic()
         claimed: list[Task] = []
-        unplaced: defaultdict[str, list[StepSpec]] = defaultdict(list)
-        for run in _by_urgency(self._table.ready, now):
+        unplaced: defaultdict[str, UnplacedSteps] = defaultdict(UnplacedSteps)
+        for run in by_urgency(self._table.ready, now):
             waiting = run.waiting()
             if not waiting:
                 self._table.ready.pop(run, None)
                 continue
             service = self._service_of(run.job)
-            if _cannot_fit(run, unplaced[service]):
+            if _cannot_fit(
+                run, unplaced[service].relevant(may_wait=self._may_wait(waiting))
+            ):
                 # Reserved resources are available whether or not other tasks fit.
                 waiting = [task for task in waiting if task.reserved_worker]
             if waiting:
@@ -94,7 +85,7 @@
         run: StepRun,
         waiting: list[Task],
         service: str,
-        unplaced: list[StepSpec],
+        unplaced: UnplacedSteps,
     ) -> list[Task]:
         if run.spec.gang and len(waiting) < run.spec.count:
             # Some members of the previous run have not ended yet.
@@ -104,13 +95,13 @@
             run.share_checkpoint()
         candidates = self.candidates(run)
         # A task without a reservation that does not fit ends the search for its step.
-        waiting.sort(key=_has_no_reservation)
+        waiting.sort(key=_search_order)
         claimed = self._claim_in_groups(run, waiting, candidates)
         left = run.waiting()
         if left:
             self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
             if _unconstrained(run) and any(map(_has_no_reservation, left)):
-                unplaced.append(run.spec)
+                unplaced.add(run.spec, may_wait=self._may_wait(left))
         else:
             self._table.ready.pop(run, None)
         for task in claimed:
@@ -145,8 +136,12 @@
         self, waiting: list[Task], workers: list[WorkerView], *, all_or_nothing: bool
     ) -> list[Task]:
         claimed: list[Task] = []
-        ranking = self._placer.rank(waiting[0], workers)
+        ranked = waiting[0]
+        ranking = self._placer.rank(ranked, workers)
         for task in waiting:
+            if self._placer.may_wait(task) is not self._placer.may_wait(ranked):
+                ranked = task
+                ranking = self._placer.rank(ranked, workers)
             worker = self._choose(task, workers, ranking)
             if worker is not None:
                 self._placer.free_reservation(task)
@@ -168,6 +163,10 @@
             return self._placer.choose(task, workers)
         return ranking.best(task)
 
+    def _may_wait(self, waiting: list[Task]) -> bool:
+        """Tells whether all waiting tasks of a step may wait for a better worker."""
+        return self._placer.may_wait(min(waiting, key=_waiting_since))
+
     def _log_claim(self, task: Task) -> None:
         worker = self._placer.worker_of(task)
         job = task.step_run.job
@@ -194,36 +193,16 @@
             task.unclaim()
 
 
-def _by_urgency(runs: Iterable[StepRun], now: timedelta) -> list[StepRun]:
-    return sorted(runs, key=lambda run: _urgency(run, now))
-
-
-def _urgency(run: StepRun, now: timedelta) -> tuple[int, _Lateness, float]:
-    """Returns the sort key of a step run.
-
-    Orders by priority, then by lateness. Among interrupted steps the one that has
-    waited longest comes first, among others that of the job with the least remaining
-    work, which completes the most jobs in time when capacity is short.
-    """
-    job = run.job
-    priority = job.queue.priority
-    interrupted_at = run.interrupted_at
-    if interrupted_at is not None:
-        return priority, _Lateness.INTERRUPTED, interrupted_at.total_seconds()
-    return priority, _lateness(run, now), job.remaining_work
+def _has_no_reservation(task: Task) -> bool:
+    return task.reserved_worker is None
 
 
-def _lateness(run: StepRun, now: timedelta) -> _Lateness:
-    if run.job.can_meet_deadline(run.step, now):
-        return _Lateness.ON_TIME
-    # A lasting task does not lose its use when the deadline of its job has passed.
-    if run.spec.long_running or now < run.job.expires_at:
-        return _Lateness.LATE
-    return _Lateness.EXPIRED
+def _waiting_since(task: Task) -> timedelta:
+    return task.waiting_since
 
 
-def _has_no_reservation(task: Task) -> bool:
-    return task.reserved_worker is None
+def _search_order(task: Task) -> tuple[bool, timedelta]:
+    return _has_no_reservation(task), task.waiting_since
 
 
 def _claimed_share(workers: list[WorkerView]) -> float:
@@ -245,7 +224,7 @@
     return not special
 
 
-def _cannot_fit(run: StepRun, unplaced: list[StepSpec]) -> bool:
+def _cannot_fit(run: StepRun, unplaced: Iterable[StepSpec]) -> bool:
     """Whether an equal or smaller task already failed to fit in this round.
 
     Filling tasks are compared with those of the same image only, since a filling task
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -116,6 +116,17 @@
         best = max(rated, key=itemgetter(0), default=None)
         return best[1] if best else None
 
+    def may_wait(self, task: Task) -> bool:
+        """Tells whether a task may wait for a worker that suits it better."""
+        spec = task.spec
+        if spec.fills:
+            limit = EXCESS_WAIT
+        elif spec.data_rack:
+            limit = RACK_WAIT
+        else:
+            return False
+        return self._clock.monotonic() - task.waiting_since < limit
+
     def rank(self, task: Task, candidates: Sequence[WorkerView]) -> Ranking:
         """Ranks the workers for `task` and the other waiting tasks of its step."""
         return Ranking(candidates, self._rating(task, candidates))
@@ -198,11 +209,7 @@
         The rating is None for a worker that is not suitable, or not yet.
         """
         run, spec = task.step_run, task.spec
-        waited = self._clock.monotonic() - task.waiting_since
-        if spec.fills:
-            may_wait = waited < EXCESS_WAIT or half_used(candidates)
-        else:
-            may_wait = waited < RACK_WAIT
+        may_wait = self.may_wait(task) or (spec.fills and half_used(candidates))
 
         def rate(worker: WorkerView) -> float | None:
             if not fits(worker, spec) or limit_reached(worker, run):
