Keep runs that a restarted worker lists

A task could run twice at the same time (TWICE) after its worker had restarted under the same id.

Cause: a start names the worker but not its incarnation. If it reaches the new incarnation before that has reported for the first time, the run is on the worker, yet the first report ended all runs that had been started, and the task was claimed again.

Change: runs that the first report of an incarnation lists, as running or ended, have been started on it and are kept.

--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -106,7 +106,7 @@
         now = self._clock.monotonic()
         first = not worker.live or not worker.lease.known
         if worker.born_ms and report.born_ms and report.born_ms != worker.born_ms:
-            self._handle_restart(report.born_ms, now)
+            self._handle_restart(report, now)
         if report.born_ms:
             worker.born_ms = report.born_ms
         worker.lease.observe_clock(report.clock, now)
@@ -120,13 +120,19 @@
             self.wake()
         self._reported(worker)
 
-    def _handle_restart(self, born_ms: int, now: timedelta) -> None:
+    def _handle_restart(self, report: WorkerReport, now: timedelta) -> None:
         worker = self._worker
-        self._log.write('worker_restarted', worker=worker.worker_id, born_ms=born_ms)
+        self._log.write(
+            'worker_restarted', worker=worker.worker_id, born_ms=report.born_ms
+        )
+        # A start may have reached the new incarnation before its first report.
+        known = {(row.ref, row.attempt) for row in report.running}
+        known.update((end.ref, end.attempt) for end in report.ended)
         for task in tuple(worker.tasks.values()):
-            if task.started_at is not None:
+            lost = (task.ref, task.attempt) not in known
+            if lost and task.started_at is not None:
                 self._tracker.release(worker, task, 'the worker has restarted')
-        worker.restart(born_ms, now)
+        worker.restart(report.born_ms, now)
 
     async def _handle_silence(self, reason: str) -> None:
         worker = self._worker
