Keep rounds short and coupled steps reserved while workers are reserved

Cause: a reserved task past its wait was compared with all workers in every round, and its step, not counted as one that does not fit, let the others be searched as well. Each rack that is tried for a coupled step and lacks the reserved worker freed the reservation.

Change: a step that is skipped only tries tasks whose reservation can be used or must end; a reserved task that may go anywhere counts as tried on all workers; a reservation ends only when its worker accepts no tasks. How long tasks have waited is looked at only for steps that may wait for a better worker.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -63,7 +63,9 @@
                 run, unplaced[service].relevant(may_wait=self._may_wait(waiting))
             ):
                 # Reserved resources are available whether or not other tasks fit.
-                waiting = [task for task in waiting if task.reserved_worker]
+                waiting = [
+                    task for task in waiting if self._placer.reservation_ready(task)
+                ]
             if waiting:
                 claimed.extend(
                     self._assign_run(run, waiting, service, unplaced[service])
@@ -100,7 +102,7 @@
         left = run.waiting()
         if left:
             self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
-            if _unconstrained(run) and any(map(_has_no_reservation, left)):
+            if _unconstrained(run) and any(map(self._placer.searches_all, left)):
                 unplaced.add(run.spec, may_wait=self._may_wait(left))
         else:
             self._table.ready.pop(run, None)
@@ -165,6 +167,9 @@
 
     def _may_wait(self, waiting: list[Task]) -> bool:
         """Tells whether all waiting tasks of a step may wait for a better worker."""
+        spec = waiting[0].spec
+        if not (spec.fills or spec.data_rack):
+            return False
         return self._placer.may_wait(min(waiting, key=_waiting_since))
 
     def _log_claim(self, task: Task) -> None:
@@ -193,16 +198,12 @@
             task.unclaim()
 
 
-def _has_no_reservation(task: Task) -> bool:
-    return task.reserved_worker is None
-
-
 def _waiting_since(task: Task) -> timedelta:
     return task.waiting_since
 
 
 def _search_order(task: Task) -> tuple[bool, timedelta]:
-    return _has_no_reservation(task), task.waiting_since
+    return task.reserved_worker is None, task.waiting_since
 
 
 def _claimed_share(workers: list[WorkerView]) -> float:
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -47,8 +47,8 @@
 #: the platform's rule on lost jobs allows a job to have no running task for 3 s at
 #: most.
 EXCESS_WAIT: Final = timedelta(milliseconds=2500)
-#: Maximum time for which a moved task waits for its target worker, where the tasks
-#: that move away must end first.
+#: Maximum time for which a task waits for its reserved worker only. The tasks that move
+#: away from the target of a move must end first.
 RESERVED_WAIT: Final = timedelta(milliseconds=1500)
 #: Maximum age of the cached list of workers that accept tasks. An assignment round
 #: uses the list once per step.
@@ -116,6 +116,20 @@
         best = max(rated, key=itemgetter(0), default=None)
         return best[1] if best else None
 
+    def searches_all(self, task: Task) -> bool:
+        """Tells whether a task is tried on all workers, not only on a reserved one."""
+        waited = self._clock.monotonic() - task.waiting_since
+        return task.reserved_worker is None or waited >= RESERVED_WAIT
+
+    def reservation_ready(self, task: Task) -> bool:
+        """Tells whether a task has a reservation that can be used or must end."""
+        if task.reserved_worker is None:
+            return False
+        worker = self._workers.get(task.reserved_worker)
+        if worker is None or not self._accepts(worker, self._clock.monotonic()):
+            return True
+        return fits(worker, task.spec, without=task.spec.demand)
+
     def may_wait(self, task: Task) -> bool:
         """Tells whether a task may wait for a worker that suits it better."""
         spec = task.spec
@@ -163,9 +177,13 @@
         The reservation is dropped if the worker is no longer a candidate.
         """
         worker = self._workers.get(task.reserved_worker or WorkerId(''))
-        if worker is None or worker not in candidates:
+        now = self._clock.monotonic()
+        if worker is None or not self._accepts(worker, now):
             self.free_reservation(task)
             return None
+        if worker not in candidates:
+            # Another rack of a tightly coupled step is being tried.
+            return None
         worker.free_reservation(task)
         if fits(worker, task.spec) and not self._is_excluded(worker, task):
             task.reserved_worker = None
