Bound the reservations for lasting tasks by service, priority and time

A review of the fix of LOST found reservations that do harm: all workers of a small service could be reserved, a task of lower priority could take the only reservation, one step without a suitable worker used up all searches, a reserved task refused room that was free elsewhere, and room that accumulates on a reserved worker for 4 s is capacity that another lasting task lacks for longer than the 3 s that the platform's rule allows.

--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -126,7 +126,7 @@
             self.table.filling_tasks_wait,
         )
         self._starvation_guard = StarvationGuard(
-            clock, log, self.table, self.fleet.workers, self._assigner.candidates
+            clock, log, self.table, self._assigner.candidates
         )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
 
--- a/chiveworks/dispatch/_starvation_guard.py
+++ b/chiveworks/dispatch/_starvation_guard.py
@@ -1,12 +1,13 @@
 """Reserves workers for lasting tasks that smaller tasks would keep from running."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
-from chiveworks.base import Clock, Resources, WorkerId
+from chiveworks.base import Clock, Resources
 from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._placer import RESERVED_WAIT
 from chiveworks.dispatch._room_checks import limit_reached
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -14,15 +15,14 @@
 
 #: Interval at which reservations are made and checked.
 CHECK_INTERVAL: Final = timedelta(milliseconds=300)
-#: Time that an interrupted lasting task waits before a worker is reserved for it.
-RESERVE_AFTER: Final = timedelta(milliseconds=500)
-#: Time after which another worker is reserved if the task still does not fit.
-RESERVATION_LIMIT: Final = timedelta(seconds=4)
-#: Maximum share of the workers that are reserved, so that most of them stay open to
-#: short tasks; at least one may be.
+#: Time after which another worker is reserved if the task still does not fit. The
+#: platform's rule on lost tasks allows 3 s in which room stays unused.
+RESERVATION_LIMIT: Final = timedelta(milliseconds=2500)
+#: Maximum share of a service's workers that are reserved, so that most of them stay
+#: open to short tasks; at least one may be.
 RESERVED_SHARE: Final = 0.125
 #: Maximum number of searches for a worker in one check, which bounds its duration.
-MAX_SEARCHES: Final = 16
+MAX_SEARCHES: Final = 8
 _MILLISECOND: Final = timedelta(milliseconds=1)
 
 
@@ -37,13 +37,13 @@
 
     Without a reservation, smaller tasks take each piece of capacity that becomes free.
     A worker is reserved only if the task fits beside the lasting tasks on it, so that
-    it is enough to wait for the end of the other ones.
+    it is enough to wait for the end of the other ones. These may have a higher priority
+    than the lasting task, and wait for the reserved workers too.
 
     Args:
         clock: Source of time.
         log: Event log for reservations.
         table: Open jobs and their waiting steps.
-        workers: Workers by id.
         candidates_of: Returns the workers on which tasks of a step may start.
     """
 
@@ -52,13 +52,11 @@
         clock: Clock,
         log: EventLog,
         table: JobTable,
-        workers: Mapping[WorkerId, WorkerView],
         candidates_of: Callable[[StepRun], list[WorkerView]],
     ) -> None:
         self._clock = clock
         self._log = log
         self._table = table
-        self._workers = workers
         self._candidates_of = candidates_of
         self._reservations: dict[Task, _Reservation] = {}
         self._checked_at = timedelta()
@@ -70,13 +68,14 @@
             return
         self._checked_at = now
         tried = self._end_reservations(now)
-        limit = max(1, int(RESERVED_SHARE * len(self._workers)))
         lasting: dict[WorkerView, Resources] = {}
         unsuccessful: set[StepRun] = set()
-        for task in self._starved_tasks(now)[:MAX_SEARCHES]:
-            if len(self._reservations) >= limit:
+        searches = 0
+        for task in self._starved_tasks(now):
+            if searches == MAX_SEARCHES:
                 return
             if task.step_run not in unsuccessful:
+                searches += 1
                 self._reserve_for(task, tried, lasting, now)
                 if task.reserved_worker is None:
                     unsuccessful.add(task.step_run)
@@ -105,7 +104,7 @@
             for task in run.waiting()
             if _is_starved(task, now)
         ]
-        return sorted(starved, key=lambda task: task.waiting_since)
+        return sorted(starved, key=_rank)
 
     def _reserve_for(
         self,
@@ -114,9 +113,14 @@
         lasting: dict[WorkerView, Resources],
         now: timedelta,
     ) -> None:
+        candidates = self._candidates_of(task.step_run)
+        if self._reserved_count(candidates) >= max(
+            1, int(RESERVED_SHARE * len(candidates))
+        ):
+            return
         suitable = [
             worker
-            for worker in self._candidates_of(task.step_run)
+            for worker in candidates
             if worker not in tried and _can_hold(worker, task, lasting)
         ]
         if not suitable:
@@ -134,9 +138,18 @@
             waiting_ms=(now - task.waiting_since) // _MILLISECOND,
         )
 
+    def _reserved_count(self, candidates: Sequence[WorkerView]) -> int:
+        reserved = {each.worker for each in self._reservations.values()}
+        return sum(worker in reserved for worker in candidates)
+
+
+def _rank(task: Task) -> tuple[int, timedelta]:
+    return task.step_run.job.queue.priority, task.waiting_since
+
 
 def _is_starved(task: Task, now: timedelta) -> bool:
-    has_waited = now - task.waiting_since >= RESERVE_AFTER
+    # A task that has waited for less may still wait for the target of its move.
+    has_waited = now - task.waiting_since >= RESERVED_WAIT
     return bool(task.attempt) and task.reserved_worker is None and has_waited
 
 
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -74,7 +74,7 @@
             self._count(task, -1)
 
     def reserve(self, task: Task) -> None:
-        """Reserves resources for a task that still runs on another worker."""
+        """Reserves resources for a task that is to run here next."""
         if task.ref not in self.reservations:
             self.reservations[task.ref] = task
             self._count(task, 1)
