--- /dev/null
+++ b/chiveworks/dispatch/tests/test_interruptions_that_are_no_crashes.py
@@ -0,0 +1,101 @@
+"""Tests that runs that end without a crash of their worker end no job."""
+
+from datetime import timedelta
+
+import pytest
+
+from chiveworks.dispatch.tests.crashing_workers import CORE, CrashingFleet
+from chiveworks.workflow import JobState, StepSpec
+
+#: Number of interruptions in a row; as many crashes would end a job.
+INTERRUPTION_COUNT = 4
+#: A run that began before the first interruption lasts until after the last.
+LASTING = StepSpec(1, CORE, long_running=True)
+
+
+@pytest.fixture
+async def fleet():
+    created = CrashingFleet(workers=2)
+    try:
+        await created.start()
+        await created.submit('lasting', LASTING)
+        await created.deployment.wait(1)
+        yield created
+    finally:
+        await created.deployment.close()
+
+
+async def _check_runs(fleet):
+    """Checks that the lasting task runs once, after which its job goes on."""
+    await fleet.deployment.wait(8)
+    assert fleet.running()['lasting'] == 1
+    assert await fleet.deployment.state('lasting') is JobState.RUNNING
+    assert not fleet.deployment.log.named('job_failed')
+
+
+def _worker(fleet):
+    """Returns the id of the worker on which the lasting task runs."""
+    return next(
+        name for name, runner in fleet.deployment.runners.items() if runner.running
+    )
+
+
+@pytest.mark.parametrize('leaders_change', [False, True])
+@pytest.mark.parametrize('lasts_s', [2, 4, 8], ids=['short', 'unlisted', 'lapse'])
+async def test_cuts_of_a_worker_count_as_no_crashes(fleet, lasts_s, leaders_change):
+    """Guards against a job that fails because workers were cut off while its task ran:
+    the same incarnation is back, with its runs or after their lease has lapsed."""
+    for _ in range(INTERRUPTION_COUNT):
+        name = _worker(fleet)
+        runner = fleet.deployment.runners[name]
+        runner.reachable = False
+        if leaders_change:
+            change = fleet.deployment.spawn(fleet.replace_leader())
+            await fleet.deployment.wait(0.2)
+            assert change.done()
+        await fleet.deployment.wait(min(lasts_s, 3))
+        if lasts_s > 3:
+            fleet.deployment.store.remove(f'workers/{name}')
+            await fleet.deployment.wait(lasts_s - 3)
+        runner.reachable = True
+        fleet.deployment.change_worker(name)
+        await fleet.deployment.wait(3)
+    await _check_runs(fleet)
+
+
+@pytest.mark.parametrize('keeps_id', [True, False], ids=['same-id', 'new-id'])
+async def test_replacements_of_a_drained_worker_count_as_no_crashes(fleet, keeps_id):
+    """Guards against a job that fails because its workers drained and were replaced,
+    each of them while the task still ran there."""
+    for _ in range(INTERRUPTION_COUNT):
+        for runner in fleet.deployment.runners.values():
+            runner.lose_stops = True
+        name = _worker(fleet)
+        fleet.deployment.change_worker(
+            name, draining=True, remaining=timedelta(seconds=1)
+        )
+        await fleet.deployment.wait(2)
+        fleet.deployment.runners[name].lose_runs()
+        await fleet.deployment.wait(2)
+        fleet.bring_back(name, keeps_id=keeps_id)
+        for runner in fleet.deployment.runners.values():
+            runner.lose_stops = False
+        await fleet.deployment.wait(3)
+    await _check_runs(fleet)
+
+
+async def test_a_drained_worker_that_leaves_counts_as_no_crash(fleet):
+    """Guards against a job that fails because the workers of its task left after their
+    drain, before the stop of the run was confirmed."""
+    for _ in range(INTERRUPTION_COUNT):
+        name = _worker(fleet)
+        fleet.add_worker()
+        fleet.deployment.runners[name].lose_stops = True
+        fleet.deployment.change_worker(
+            name, draining=True, remaining=timedelta(seconds=1)
+        )
+        await fleet.deployment.wait(2)
+        fleet.deployment.runners[name].lose_runs()
+        fleet.deployment.store.remove(f'workers/{name}')
+        await fleet.deployment.wait(8)
+    await _check_runs(fleet)
