--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -146,22 +146,27 @@
                 ranking = self._placer.rank(ranked, workers)
             worker = self._choose(task, workers, ranking)
             if worker is not None:
-                self._placer.free_reservation(task)
-                task.claim(worker.worker_id)
-                worker.add(task)
+                self._claim(task, worker)
                 ranking.refresh(worker)
                 claimed.append(task)
-            elif not task.reserved_worker:
+            elif not (task.reserved_worker or task.crashes):
                 break
         if all_or_nothing and len(claimed) < len(waiting):
             self._undo_claims(claimed)
             return []
         return claimed
 
+    def _claim(self, task: Task, worker: WorkerView) -> None:
+        self._placer.free_reservation(task)
+        task.claim(worker.worker_id)
+        worker.add(task)
+        if task.crashes:
+            self._placer.probation.begin(worker, task)
+
     def _choose(
         self, task: Task, workers: list[WorkerView], ranking: Ranking
     ) -> WorkerView | None:
-        if task.reserved_worker or task.avoided_workers:
+        if task.reserved_worker or task.avoided_workers or task.crashes:
             return self._placer.choose(task, workers)
         return ranking.best(task)
 
--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -134,6 +134,8 @@
     def _add(self, info: WorkerInfo) -> None:
         lease = WorkerLease(self._lease_limit, self._clock.monotonic())
         worker = WorkerView(info, self._connect(info), lease)
+        # Tells a restart that an earlier leader has not seen.
+        worker.born_ms = info.born_ms
         for task in self._orphans.pop(info.worker_id, (lease, ()))[1]:
             worker.add(task)
         session = self._open_session(worker)
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -84,6 +84,7 @@
             'job_failed',
             task=task.ref[1:],
             failures=task.failures,
+            crashes=task.crashes,
             **self._log_fields(job),
         )
         self._end(job, JobState.FAILED)
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -8,7 +8,18 @@
 from chiveworks.base import Clock, WorkerId, ZoneName
 from chiveworks.dispatch._interference_forecast import InterferenceForecast
 from chiveworks.dispatch._interference_model import InterferenceModel
+from chiveworks.dispatch._probation import Probation
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._rating_weights import (
+    AVOIDED_PENALTY,
+    EXCESS_LIMIT,
+    LOSS_PENALTY,
+    MIXED_IMAGES_PENALTY,
+    OVERCOMMIT_SHARE,
+    REMOTE_PENALTY,
+    SAME_IMAGE_BONUS,
+    TAKEN_PENALTY,
+)
 from chiveworks.dispatch._room_checks import (
     fits,
     half_used,
@@ -18,27 +29,6 @@
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
 
-#: Penalty, in shares of a worker's processors, for a rack other than that of the
-#: input data.
-REMOTE_PENALTY: Final = 2.0
-#: Penalty for a worker that rejected the task or on which it failed or stalled.
-AVOIDED_PENALTY: Final = 4.0
-#: Penalty per share of the filling images that a worker can no longer run without
-#: interference once a task of a further serving image runs there.
-MIXED_IMAGES_PENALTY: Final = 6.0
-#: Bonus for a worker that already runs a serving task of the same image.
-SAME_IMAGE_BONUS: Final = 1.0
-#: Penalty per unit of latency headroom that a filling task takes from serving tasks.
-TAKEN_PENALTY: Final = 0.5
-#: Penalty per unit of headroom lost beyond what the serving tasks can spare.
-LOSS_PENALTY: Final = 2.0
-#: Maximum loss of headroom in excess of the spare headroom. Above it, a filling task
-#: waits for another worker.
-EXCESS_LIMIT: Final = 0.1
-#: Share of a worker's processors by which filling tasks may be overcommitted. Tasks
-#: that are starting, restoring or ending use no processor time, and reports show
-#: half of the claimed processor time in use.
-OVERCOMMIT_SHARE: Final = 0.3
 #: Maximum time for which a task other than a filling task waits for a worker in the
 #: rack of its data. On other racks it takes several times as long.
 RACK_WAIT: Final = timedelta(seconds=1)
@@ -63,6 +53,9 @@
         workers: Workers by id.
         evacuated: Tells whether a zone is evacuated, so that nothing may start there.
         model: Interference model.
+
+    Attributes:
+        probation: Workers on which suspects have just been started.
     """
 
     def __init__(
@@ -79,6 +72,7 @@
         self._available: list[WorkerView] = []
         self._available_updated_at = -2 * AVAILABLE_MAX_AGE
         self._forecast = InterferenceForecast(model)
+        self.probation = Probation(clock)
 
     def candidates(self, run: StepRun, service: str) -> list[WorkerView]:
         """Returns the workers on which tasks of a step may start now.
@@ -105,6 +99,12 @@
             if reserved_worker is not None or waited < RESERVED_WAIT:
                 return reserved_worker
         rate = self._rating(task, candidates)
+        if task.crashes:
+            return self.probation.choose(
+                worker
+                for worker in candidates
+                if task.ref not in worker.tasks and rate(worker) is not None
+            )
         rated = (
             (
                 rating - AVOIDED_PENALTY * (worker.worker_id in task.avoided_workers),
@@ -117,7 +117,12 @@
         return best[1] if best else None
 
     def searches_all(self, task: Task) -> bool:
-        """Tells whether a task is tried on all workers, not only on a reserved one."""
+        """Tells whether a task is tried on all workers.
+
+        A suspect is not, nor a task that waits for its reserved worker.
+        """
+        if task.crashes:
+            return False
         waited = self._clock.monotonic() - task.waiting_since
         return task.reserved_worker is None or waited >= RESERVED_WAIT
 
@@ -232,6 +237,8 @@
         def rate(worker: WorkerView) -> float | None:
             if not fits(worker, spec) or limit_reached(worker, run):
                 return None
+            if self.probation.covers(worker):
+                return None
             if spec.fills:
                 return self._rate_filling(worker, spec, may_wait=may_wait)
             remote = bool(spec.data_rack) and spec.data_rack != worker.info.rack
@@ -259,7 +266,12 @@
         return free_share
 
     def _is_excluded(self, worker: WorkerView, task: Task) -> bool:
-        return task.ref in worker.tasks or limit_reached(worker, task.step_run)
+        return (
+            task.ref in worker.tasks
+            or limit_reached(worker, task.step_run)
+            or self.probation.covers(worker)
+            or (task.crashes > 0 and not self.probation.takes_suspects(worker))
+        )
 
     def _rate_serving(
         self, worker: WorkerView, spec: StepSpec, free_share: float
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -4,8 +4,10 @@
 from datetime import timedelta
 
 from chiveworks.base import Clock
+from chiveworks.dispatch._crash_suspicion import CrashSuspicion, is_given_up
 from chiveworks.dispatch._health import WorkerHealth
 from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._probation import has_survived
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._worker_control import EndKind, EndRow, RunRow, WorkerReport
 from chiveworks.dispatch._worker_view import WorkerView
@@ -49,6 +51,7 @@
         self._changed = changed
         self._stop = stop
         self._withdraw = withdraw
+        self._suspicion = CrashSuspicion(log)
 
     def apply(
         self, worker: WorkerView, report: WorkerReport, polled_at: timedelta
@@ -66,21 +69,44 @@
         for task in tuple(worker.tasks.values()):
             self.release(worker, task, reason)
 
+    def record_loss(self, worker: WorkerView, lost: Sequence[Task]) -> None:
+        """Counts the loss of a worker against the tasks that may have crashed it.
+
+        Call it before the lost runs are released.
+        """
+        self._suspicion.record_loss(worker, lost)
+
+    def release_orphan(self, task: Task) -> None:
+        """Releases a run of an earlier term whose worker is gone.
+
+        Nothing is known of the worker, so its end may be a crash under the task.
+        """
+        # An earlier run may have completed the task.
+        if task.active:
+            task.crashes += 1
+            self._log_lost(task, 'the worker of an earlier term is gone')
+            self._table.requeue(task)
+            self._give_up_if_exhausted(task)
+
     def release(self, worker: WorkerView, task: Task, reason: str) -> None:
         """Releases one run that certainly ended without a report, or never started."""
+        self._log_lost(task, reason)
+        worker.remove(task)
+        if task.active:
+            self._table.requeue(task)
+            self._give_up_if_exhausted(task)
+        self._changed()
+
+    def _log_lost(self, task: Task, reason: str) -> None:
         self._log.write(
             'run_lost',
             job=task.ref.job_id,
             task=task.ref[1:],
             attempt=task.attempt,
-            worker=worker.worker_id,
+            worker=task.worker,
             queue=task.step_run.job.queue.name,
             reason=reason,
         )
-        worker.remove(task)
-        if task.active:
-            self._table.requeue(task)
-        self._changed()
 
     def _apply_running(
         self, worker: WorkerView, rows: Sequence[RunRow]
@@ -94,6 +120,9 @@
                 continue
             listed.add(row.ref)
             _update(task, row, now)
+            if task.crashes and has_survived(worker, task):
+                task.crashes = 0
+                self._writer.mark(task.step_run.job)
             reason = _reason_to_stop(task)
             if reason:
                 self._stop(task, reason)
@@ -144,12 +173,19 @@
         if end.kind is EndKind.FAILED:
             task.failures += 1
             self._health.record_failure(worker, task)
-            if self._exhausted(task):
-                self._table.fail(task.step_run.job, task)
+            self._give_up_if_exhausted(task)
+
+    def _give_up_if_exhausted(self, task: Task) -> None:
+        if self._exhausted(task):
+            self._table.fail(task.step_run.job, task)
 
     def _exhausted(self, task: Task) -> bool:
         job = task.step_run.job
-        if task.spec.long_running or job.state.terminal:
+        if job.state.terminal:
+            return False
+        if is_given_up(task):
+            return True
+        if task.spec.long_running:
             return False
         run = task.step_run
         failures = run.failures if run.spec.gang else task.failures
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -110,6 +110,7 @@
         )
         self.model = InterferenceModel()
         placer = Placer(clock, self.fleet.workers, evacuated, self.model)
+        self._probation = placer.probation
         self._tickets = TicketCache(clock, log, advisor)
         self._assigner = Assigner(
             clock, log, self.table, placer, service_of, self._tickets
@@ -238,6 +239,8 @@
     def _on_report(self, worker: WorkerView) -> None:
         session = self.fleet.sessions.get(worker.worker_id)
         frequent_polling = self._guard.observe(worker)
+        # A report ends a probation.
+        frequent_polling |= self._probation.covers(worker)
         if session is not None:
             session.frequent_polling = frequent_polling
 
@@ -271,9 +274,7 @@
             if self.table.open_due() or self.table.ready:
                 self._wake.set()
             for task in self.fleet.lapsed_orphans():
-                # An earlier run may have completed the task.
-                if task.active:
-                    self.table.requeue(task)
+                self.tracker.release_orphan(task)
             self._drainer.check()
             self._stalls.check()
             self._consolidator.check()
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -30,6 +30,11 @@
         """Whether the worker's clock is known."""
         return self._clock is not None
 
+    @property
+    def observed_at(self) -> timedelta:
+        """When the worker last responded; the start of the lease before that."""
+        return self._observed_at
+
     def observe_clock(self, clock: timedelta, now: timedelta) -> None:
         """Records the worker's clock from a response received at `now`."""
         self._clock = clock
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -94,6 +94,7 @@
             await self._handle_silence(str(result.err_value))
             return False
         if result.ok_value is None:
+            self._tracker.record_loss(worker, tuple(worker.tasks.values()))
             self._tracker.release_all(
                 worker, 'another incarnation of the worker responded'
             )
@@ -128,9 +129,14 @@
         # A start may have reached the new incarnation before its first report.
         known = {(row.ref, row.attempt) for row in report.running}
         known.update((end.ref, end.attempt) for end in report.ended)
-        for task in tuple(worker.tasks.values()):
-            lost = (task.ref, task.attempt) not in known
-            if lost and task.started_at is not None:
+        lost = [
+            task
+            for task in worker.tasks.values()
+            if (task.ref, task.attempt) not in known
+        ]
+        self._tracker.record_loss(worker, lost)
+        for task in lost:
+            if task.started_at is not None:
                 self._tracker.release(worker, task, 'the worker has restarted')
         worker.restart(report.born_ms, now)
 
@@ -144,6 +150,7 @@
     def _check_lapse(self) -> None:
         worker = self._worker
         if worker.tasks and worker.lease.lapsed(self._clock.monotonic()):
+            self._tracker.record_loss(worker, tuple(worker.tasks.values()))
             self._tracker.release_all(worker, 'the lease of the worker has lapsed')
 
     async def _pause_after_report(self) -> timedelta:
--- a/chiveworks/dispatch/tests/crashing_workers.py
+++ b/chiveworks/dispatch/tests/crashing_workers.py
@@ -117,9 +117,9 @@
         name = f'w{self._names}'
         self._names += 1
         self.deployment.add_worker(name, self._cores)
-        self.deployment.runners[name] = CrashingRunner(
-            self.deployment.clock, self, name
-        )
+        runner = CrashingRunner(self.deployment.clock, self, name)
+        self.deployment.runners[name] = runner
+        self.deployment.change_worker(name, born_ms=runner.born_ms)
         return name
 
     async def submit(self, name, *steps, deadly=()):
@@ -149,7 +149,9 @@
         runner.reachable = True
         if keeps_id:
             runner.born_ms += 1
-            self.deployment.change_worker(name, draining=False, remaining=None)
+            self.deployment.change_worker(
+                name, draining=False, remaining=None, born_ms=runner.born_ms
+            )
         else:
             runner.replaced = True
             self.deployment.store.remove(f'workers/{name}')
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -141,7 +141,8 @@
     key = (*task.ref[1:], task.state.value)
     if task.state is TaskState.DONE:
         return key
-    return (*key, task.attempt, task.failures, task.worker or '', task.checkpoint)
+    counts = (task.attempt, task.failures)
+    return (*key, *counts, task.worker or '', task.checkpoint, task.crashes)
 
 
 def _unpack_task(task: Task, row: list[Any], state: int) -> None:
@@ -152,6 +153,8 @@
     task.failures = row[5]
     task.worker = WorkerId(row[6]) if row[6] else None
     task.checkpoint = row[7]
+    # Processes of an earlier version do not store the number of crashes.
+    task.crashes = row[8] if len(row) > 8 else 0
     # The previous leader may have sent the start at any time after the claim.
     task.sent = task.active
 
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -51,6 +51,7 @@
         state: Current state.
         attempt: Number of the latest run, counted from 1; 0 before the first.
         failures: Number of runs that failed.
+        crashes: Number of workers in a row that were lost as the task started.
         worker: Worker of the claimed or current run.
         checkpoint: Latest checkpoint; empty if there is none.
         started_at: When the start of the current run was confirmed.
@@ -72,6 +73,7 @@
     state: TaskState = TaskState.WAITING
     attempt: int = 0
     failures: int = 0
+    crashes: int = 0
     worker: WorkerId | None = None
     checkpoint: str = ''
     started_at: timedelta | None = None
