--- a/chiveworks/dispatch/_crash_suspicion.py
+++ b/chiveworks/dispatch/_crash_suspicion.py
@@ -1,8 +1,9 @@
 """Finds the tasks that crash the workers on which they start."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
+from chiveworks.base import WorkerId
 from chiveworks.dispatch._probation import has_survived
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -10,6 +11,10 @@
 
 #: Number of lost workers in a row after which a task is given up.
 CRASH_LIMIT: Final = 3
+#: Share and number of workers out of reach at the same time above which a common cause,
+#: such as a cut, is assumed. Both must be exceeded.
+COMMON_CAUSE_SHARE: Final = 0.15
+COMMON_CAUSE_COUNT: Final = 4
 
 
 class CrashSuspicion:
@@ -21,22 +26,28 @@
 
     Args:
         log: Event log for lost workers.
+        workers: Workers by id.
     """
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, workers: Mapping[WorkerId, WorkerView]) -> None:
         self._log = log
+        self._workers = workers
 
     def record_loss(self, worker: WorkerView, lost: Sequence[Task]) -> None:
         """Counts the loss of a worker against the suspects among its lost runs.
 
         A worker that restarted has crashed; one whose lease lapsed may have been cut
-        off. The replacement of a worker that is draining is no crash.
+        off. The replacement of a worker that is draining is no crash, and many workers
+        that are lost together have a common cause.
         """
-        if worker.info.draining or not lost:
+        if not lost:
             return
         suspects = [
             task for task in lost if task.sent and not has_survived(worker, task)
         ]
+        silent = sum(not each.live for each in self._workers.values())
+        if worker.info.draining or self._have_common_cause(silent):
+            suspects.clear()
         for suspect in suspects:
             suspect.crashes += 1
         self._log.write(
@@ -46,6 +57,18 @@
             suspects=[(*each.ref, each.crashes) for each in suspects],
         )
 
+    def record_orphans(self, orphans: Sequence[Task]) -> None:
+        """Counts the workers that are gone at the start of a term, as for a loss."""
+        lost_workers = {task.worker for task in orphans}
+        if self._have_common_cause(len(lost_workers)):
+            return
+        for task in orphans:
+            task.crashes += 1
+
+    def _have_common_cause(self, lost_count: int) -> bool:
+        limit = max(COMMON_CAUSE_COUNT, COMMON_CAUSE_SHARE * len(self._workers))
+        return lost_count > limit
+
 
 def is_given_up(task: Task) -> bool:
     """Whether too many workers have crashed when a task was started."""
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -27,6 +27,7 @@
         table: Open jobs.
         writer: Makes changes durable.
         health: Quarantines workers on which runs fail.
+        suspicion: Counts lost workers against the tasks that may have crashed them.
         changed: Called when capacity or tasks may have become available.
         stop: Called with a task whose run must be stopped.
         withdraw: Called with a listed run that does not match a claim.
@@ -39,6 +40,7 @@
         table: JobTable,
         writer: ProgressWriter,
         health: WorkerHealth,
+        suspicion: CrashSuspicion,
         changed: Callable[[], None],
         stop: Callable[[Task, str], None],
         withdraw: Callable[[WorkerView, TaskRef, int], None],
@@ -51,7 +53,7 @@
         self._changed = changed
         self._stop = stop
         self._withdraw = withdraw
-        self._suspicion = CrashSuspicion(log)
+        self._suspicion = suspicion
 
     def apply(
         self, worker: WorkerView, report: WorkerReport, polled_at: timedelta
@@ -76,14 +78,15 @@
         """
         self._suspicion.record_loss(worker, lost)
 
-    def release_orphan(self, task: Task) -> None:
-        """Releases a run of an earlier term whose worker is gone.
+    def release_orphans(self, tasks: Sequence[Task]) -> None:
+        """Releases runs of an earlier term whose workers are gone.
 
-        Nothing is known of the worker, so its end may be a crash under the task.
+        Nothing is known of the workers, so their end may be a crash under these tasks.
         """
-        # An earlier run may have completed the task.
-        if task.active:
-            task.crashes += 1
+        # An earlier run may have completed a task.
+        orphans = [task for task in tasks if task.active]
+        self._suspicion.record_orphans(orphans)
+        for task in orphans:
             self._log_lost(task, 'the worker of an earlier term is gone')
             self._table.requeue(task)
             self._give_up_if_exhausted(task)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -11,6 +11,7 @@
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
 from chiveworks.dispatch._consolidator import Consolidator
+from chiveworks.dispatch._crash_suspicion import CrashSuspicion
 from chiveworks.dispatch._drainer import Drainer
 from chiveworks.dispatch._final_records import FinalRecords
 from chiveworks.dispatch._fleet import Fleet
@@ -104,6 +105,7 @@
             self.table,
             self.writer,
             health,
+            CrashSuspicion(log, self.fleet.workers),
             self._wake.set,
             self.orders.stop,
             self.orders.withdraw,
@@ -273,8 +275,7 @@
             now = self._clock.monotonic()
             if self.table.open_due() or self.table.ready:
                 self._wake.set()
-            for task in self.fleet.lapsed_orphans():
-                self.tracker.release_orphan(task)
+            self.tracker.release_orphans(self.fleet.lapsed_orphans())
             self._drainer.check()
             self._stalls.check()
             self._consolidator.check()
--- a/chiveworks/dispatch/tests/test_interruptions_that_are_no_crashes.py
+++ b/chiveworks/dispatch/tests/test_interruptions_that_are_no_crashes.py
@@ -99,3 +99,22 @@
         fleet.deployment.store.remove(f'workers/{name}')
         await fleet.deployment.wait(8)
     await _check_runs(fleet)
+
+
+async def test_workers_that_are_lost_together_count_as_no_crashes():
+    """Guards against jobs that fail, and starts that wait for each other, because a
+    common cause ended many workers shortly after they had started tasks."""
+    fleet = CrashingFleet(workers=8)
+    try:
+        await fleet.start()
+        await fleet.submit('lasting', StepSpec(8, CORE, long_running=True))
+        for _ in range(INTERRUPTION_COUNT):
+            for name, runner in tuple(fleet.deployment.runners.items()):
+                if not runner.replaced:
+                    fleet.deployment.spawn(fleet.crash(name))
+            await fleet.deployment.wait(4)
+        assert fleet.crash_count == 8 * INTERRUPTION_COUNT
+        assert fleet.running()['lasting'] == 8
+        assert await fleet.deployment.state('lasting') is JobState.RUNNING
+    finally:
+        await fleet.deployment.close()
