Cancel the other tasks if the cancellation of one raises

Cause: uvloop raises RuntimeError ('File descriptor 241 is used by transport') from Task.cancel() of a connection attempt. cancel_all let it escape, so Scheduler.close cancelled only some of the children; term_failed at 14.147 s has this error. The replicas of jobs/ and servers/ of that term were still followed at 33.4 s. Why uvloop finds a transport on the descriptor was not traced.

Change: cancel_all goes on and cancels the task again after its interval. The new test failed before with this RuntimeError.

--- a/chiveworks/base/_cancellation.py
+++ b/chiveworks/base/_cancellation.py
@@ -1,6 +1,7 @@
 """Reliable cancellation of asyncio tasks."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any, Final
@@ -22,7 +23,10 @@
     pending = set(tasks)
     while pending:
         for task in pending:
-            task.cancel()
+            # uvloop raises from the cancellation of a connection attempt if a transport
+            # uses its file descriptor; the task is cancelled again after the interval.
+            with contextlib.suppress(RuntimeError):
+                task.cancel()
         ended, pending = await asyncio.wait(
             pending, timeout=CANCEL_RETRY_INTERVAL.total_seconds()
         )
--- a/chiveworks/base/tests/test_cancellation.py
+++ b/chiveworks/base/tests/test_cancellation.py
@@ -34,3 +34,24 @@
     tasks = [asyncio.create_task(fail()), asyncio.create_task(asyncio.sleep(60))]
     await cancel_all(tasks)
     assert all(task.done() for task in tasks)
+
+
+async def test_a_cancellation_that_raises_leaves_no_task_running():
+    """Guards against tasks that go on since the cancellation of another one raised:
+    uvloop does so if a transport uses the descriptor of a connection attempt."""
+
+    class ConnectionAttempt(asyncio.Future):
+        def cancel(self, msg=None):
+            if not raised:
+                raised.append(1)
+                raise RuntimeError('File descriptor 241 is used by transport')
+            return super().cancel(msg)
+
+    async def connect():
+        await ConnectionAttempt()
+
+    raised = []
+    tasks = [asyncio.create_task(connect()) for _ in range(3)]
+    await asyncio.sleep(0)
+    await asyncio.wait_for(cancel_all(tasks), timeout=5)
+    assert raised and all(task.cancelled() for task in tasks)
