End the term of a leader that cannot restore the stored state

Cause: the recovery had no time limit and listed again for as long as the term was valid, without a pause, while the lease was renewed by another task. Why the listings failed is not in the log.

Change: a recovery that takes longer than RECOVERY_TIMEOUT ends the term, with the reason in leadership_lost, and is cancelled; this process pauses as after any failed term. Failed listings are repeated after a pause. The six tests of listings that hang or fail failed before, since no other process ever led; that of a slow recovery passed and still does.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -1,5 +1,6 @@
 """Campaigns for leadership and schedules while this process is the leader."""
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any, Final, Protocol
@@ -23,10 +24,20 @@
 
 #: Pause after a term that an error ended, in which other processes may lead.
 FAILED_TERM_PAUSE: Final = timedelta(seconds=1)
+#: Time within which a new leader must restore the stored state. The lease is renewed
+#: meanwhile, so without a limit a leader that cannot read the state would keep others
+#: from leading. A slow process needs up to 2 s; some failed calls are allowed for.
+RECOVERY_TIMEOUT: Final = timedelta(seconds=5)
+#: Pause before a failed listing is repeated during the recovery.
+RECOVERY_RETRY_PAUSE: Final = timedelta(milliseconds=60)
 
 _Record = Submission | JobState
 
 
+class RecoveryTimeoutError(Exception):
+    """The stored state was not restored within `RECOVERY_TIMEOUT`."""
+
+
 class SchedulerFactory(Protocol):
     """Creates the scheduler of a leadership term."""
 
@@ -98,7 +109,7 @@
             self.scheduler = scheduler
             scheduler.spawn(term.renew_until_lost())
             scheduler.spawn(self._election.watch_term(term))
-            for watch in await self._recover(term, scheduler):
+            for watch in await self._recover_in_time(term, scheduler):
                 scheduler.spawn(watch)
             await scheduler.run()
             # The scheduler may notice the end before the renewal of the lease does.
@@ -107,6 +118,31 @@
             self.scheduler = None
             await scheduler.close()
 
+    async def _recover_in_time(
+        self, term: Term, scheduler: Scheduler
+    ) -> list[Coroutine[Any, Any, None]]:
+        task = asyncio.current_task()
+        timer = asyncio.create_task(self._limit_recovery(term, task))
+        try:
+            return await self._recover(term, scheduler)
+        except asyncio.CancelledError:
+            # Another cancellation ends the process and must not be lost.
+            if not timer.done() or task is None or task.uncancel():
+                raise
+            raise RecoveryTimeoutError from None
+        finally:
+            timer.cancel()
+
+    async def _limit_recovery(
+        self, term: Term, recovery: 'asyncio.Task[Any] | None'
+    ) -> None:
+        await self._clock.sleep(RECOVERY_TIMEOUT)
+        # The lease is no longer renewed from here on, even if the recovery is slow to
+        # react to its cancellation.
+        term.end(f'not recovered within {RECOVERY_TIMEOUT.total_seconds():g} s')
+        if recovery is not None:
+            recovery.cancel()
+
     async def _recover(
         self, term: Term, scheduler: Scheduler
     ) -> list[Coroutine[Any, Any, None]]:
@@ -123,6 +159,9 @@
         )
 
         def accept_record(name: str, record: _Record | None) -> None:
+            if term.lost.is_set():
+                # A listing may succeed after the recovery was given up.
+                return
             final = isinstance(record, JobState)
             scheduler.final_records.observe(JobId(name), final=final)
             if isinstance(record, Submission):
@@ -133,7 +172,8 @@
         # jobs are known.
         for replica in (jobs, workers):
             while term.valid and not replica.synced:
-                await replica.step()
+                if not await replica.step():
+                    await self._clock.sleep(RECOVERY_RETRY_PAUSE)
         states = [task.state for task in scheduler.fleet.runs()]
         took = self._clock.monotonic() - started_at
         self._log.write(
@@ -156,6 +196,7 @@
                     for item in result.ok_value.items
                     if item.content is not None
                 }
+            await self._clock.sleep(RECOVERY_RETRY_PAUSE)
         return {}
 
 
