Connect to the platform without socket objects, over connections of our own

Change: calls to the store, workers and advice go over httptools connections that the loop opens by address. Requests to a worker share at most 4 connections, and a response that arrived while the loop was late still counts. The sessions of the product's own interface connect by address as well (LoopConnector). JSON is read and written by orjson, with the standard library for what that refuses.

--- a/chiveworks/base/_http_client.py
+++ b/chiveworks/base/_http_client.py
@@ -4,22 +4,22 @@
 from datetime import timedelta
 
 import aiohttp
-from result import Err, Ok, Result
+from result import Err, Result
 from yarl import URL
 
 from chiveworks.base._failure import Failure
+from chiveworks.base._http_outcome import (
+    check_status,
+    request_failure,
+    unusable_response,
+)
 from chiveworks.base._http_response import HttpResponse
 from chiveworks.base._step import Step
-from chiveworks.base._verdict import Verdict
 
 # Omitted because control traffic has a budget of 2 KB/s per instance.
 _SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
-#: Statuses with which the platform rejects a request before it has any effect.
-_REJECTED_STATUSES = frozenset((429, 503))
 # Timeouts are OSErrors. An address that does not form a URL raises ValueError.
 _CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
-_CLIENT_ERROR = 400
-_SERVER_ERROR = 500
 
 
 class _ResponseLostError(aiohttp.ClientError):
@@ -103,33 +103,17 @@
             )
         except _CALL_ERRORS as error:
             return Err(self.failure(step, _describe_error(error), writes=writes))
-        return self._check_status(http_response, step, writes=writes)
+        return check_status(http_response, step, self.base_url, writes=writes)
 
     def failure(self, step: Step, message: str, *, writes: bool) -> Failure:
         """Returns the failure of a request that may have been sent."""
-        verdict = Verdict.OUTCOME_UNKNOWN if writes else Verdict.NOT_RUN
-        return Failure(verdict, step, self.base_url, message)
+        return request_failure(step, self.base_url, message, writes=writes)
 
     def unexpected(
         self, response: HttpResponse, step: Step, *, writes: bool
     ) -> Failure:
-        """Returns the failure of a request whose response cannot be used.
-
-        A status from 400 to 499 means that the request had no effect.
-        """
-        rejected = _CLIENT_ERROR <= response.status < _SERVER_ERROR
-        message = f'unusable response with status {response.status}'
-        return self.failure(step, message, writes=writes and not rejected)
-
-    def _check_status(
-        self, response: HttpResponse, step: Step, *, writes: bool
-    ) -> Result[HttpResponse, Failure]:
-        if response.status in _REJECTED_STATUSES:
-            message = f'rejected with status {response.status}'
-            return Err(Failure.not_run(step, self.base_url, message))
-        if response.status >= _SERVER_ERROR:
-            return Err(self.unexpected(response, step, writes=writes))
-        return Ok(response)
+        """Returns the failure of a request whose response cannot be used."""
+        return unusable_response(response, step, self.base_url, writes=writes)
 
 
 def _describe_error(error: Exception) -> str:
--- a/chiveworks/entry/_platform.py
+++ b/chiveworks/entry/_platform.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
 
 from chiveworks.base import Clock
+from chiveworks.base._connector import LoopConnector
 from chiveworks.catalogue import CatalogueEditor, CatalogueReplica
 from chiveworks.entry._metered_store import MeteredStore
 from chiveworks.instances import HttpInstanceList, Instance
@@ -55,4 +56,4 @@
     # The number of calls in progress already bounds the number of connections. With
     # a pool limit, the wait for a free connection would count against the call's
     # timeout.
-    return ClientSession(connector=TCPConnector(limit=0))
+    return ClientSession(connector=LoopConnector(limit=0))
--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -8,6 +8,8 @@
 from datetime import timedelta
 from typing import Final
 
+import orjson
+
 from chiveworks.base import Clock
 
 #: Maximum number of lines per second for each event, or for each event and queue of
@@ -91,10 +93,7 @@
     def _emit(self, event: str, fields: dict[str, object]) -> bool:
         """Writes a line; returns False if it was not written."""
         header = {'at': round(self._clock.now().timestamp(), 3), 'event': event}
-        line = json.dumps(
-            {**header, **self._fields, **fields}, default=str, separators=(',', ':')
-        )
-        encoded = f'{line}\n'.encode()
+        encoded = _encode({**header, **self._fields, **fields})
         # Writes to a pipe are atomic only up to this length.
         if len(encoded) > select.PIPE_BUF:
             return False
@@ -103,3 +102,12 @@
         except BlockingIOError:
             return False
         return True
+
+
+def _encode(line: dict[str, object]) -> bytes:
+    try:
+        return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+    except TypeError:
+        # Texts with lone surrogates and large integers, which clients may send.
+        text = json.dumps(line, default=str, separators=(',', ':'))
+        return f'{text}\n'.encode()
--- a/chiveworks/platform/_channel.py
+++ b/chiveworks/platform/_channel.py
@@ -1,18 +1,18 @@
 """JSON calls to one service of the platform over resettable HTTP connections."""
 
-import json
 from datetime import timedelta
 from typing import Any, Final
 
-import aiohttp
+import orjson
 from result import Err, Ok, Result
 
 from chiveworks.base import Failure, Step
-from chiveworks.base._http_client import HttpClient
+from chiveworks.base._http_outcome import unusable_response
 from chiveworks.platform._fields import parse_json
+from chiveworks.platform._http_pool import HttpPool
 
-#: Timeout for opening a connection, which takes a few ms within a region.
-CONNECT_TIMEOUT: Final = timedelta(milliseconds=400)
+#: Default limit of the connections to one address. Each takes a descriptor.
+MAX_CONNECTIONS: Final = 256
 
 #: HTTP status and decoded JSON body, None if the body is empty.
 Reply = tuple[int, Any]
@@ -25,15 +25,21 @@
         address: Host and port.
         timeout: Default timeout of a call.
         headers: Headers added to every call.
+        connection_limit: Maximum number of connections; further calls wait for one.
     """
 
     def __init__(
-        self, address: str, timeout: timedelta, headers: dict[str, str] | None = None
+        self,
+        address: str,
+        timeout: timedelta,
+        headers: dict[str, str] | None = None,
+        connection_limit: int = MAX_CONNECTIONS,
     ) -> None:
         self._address = address
         self._timeout = timeout
         self._headers = {'Content-Type': 'application/json', **(headers or {})}
-        self._client: HttpClient | None = None
+        self._connection_limit = connection_limit
+        self._pool = self._open()
 
     async def call(
         self,
@@ -60,45 +66,32 @@
         Returns:
             The status and the decoded body of the response.
         """
-        client = self._open()
-        encoded_body = None if body is None else json.dumps(body).encode()
-        result = await client.call(
+        result = await self._pool.call(
             method,
             path,
             step,
             query=query,
-            body=encoded_body,
-            timeout=timeout,
+            body=b'' if body is None else orjson.dumps(body),
+            timeout=timeout or self._timeout,
             writes=writes,
         )
         if isinstance(result, Err):
             return result
-        reply = result.ok_value
+        response = result.ok_value
         try:
-            decoded = parse_json(reply.body) if reply.body else None
+            decoded = parse_json(response.body) if response.body else None
         except ValueError:
-            return Err(client.unexpected(reply, step, writes=writes))
-        return Ok((reply.status, decoded))
+            return Err(unusable_response(response, step, self._address, writes=writes))
+        return Ok((response.status, decoded))
 
     async def reset(self) -> None:
         """Closes all connections, any of which may be dead; calls open new ones."""
-        client = self._client
-        self._client = None
-        if client is not None:
-            await client.session.close()
+        self._pool.close()
+        self._pool = self._open()
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self.reset()
+        self._pool.close()
 
-    def _open(self) -> HttpClient:
-        if self._client is None:
-            session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, ttl_dns_cache=None),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                headers=self._headers,
-            )
-            self._client = HttpClient(
-                session, f'http://{self._address}', self._timeout, CONNECT_TIMEOUT
-            )
-        return self._client
+    def _open(self) -> HttpPool:
+        return HttpPool(self._address, self._headers, self._connection_limit)
--- a/chiveworks/platform/_fields.py
+++ b/chiveworks/platform/_fields.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 from typing import Any, Final
 
+import orjson
+
 #: Highest number in a field. As milliseconds it is 317 years, a few times of which are
 #: within the range of `timedelta`.
 MAX_NUMBER: Final = 10**13
@@ -20,6 +22,15 @@
     Raises:
         ValueError: The content is not JSON, or is nested too deeply.
     """
+    try:
+        return orjson.loads(content)
+    except orjson.JSONDecodeError:
+        # The standard library also reads NaN, and integers and texts of any kind, so
+        # that the field with such a value can be named.
+        return _parse_lenient_json(content)
+
+
+def _parse_lenient_json(content: bytes | str) -> Any:
     try:
         return json.loads(content)
     except RecursionError:
--- a/chiveworks/platform/_worker_client.py
+++ b/chiveworks/platform/_worker_client.py
@@ -22,6 +22,11 @@
 #: Timeout of a poll beyond its wait.
 POLL_TIMEOUT_MARGIN: Final = timedelta(milliseconds=500)
 
+#: Maximum number of connections to a worker: one for polls, the others for orders. A
+#: group of tasks that start together shares them; a connection costs more than a wait of
+#: a few ms.
+CONNECTION_LIMIT: Final = 4
+
 _OK = 200
 _BAD_REQUEST = 400
 _CONFLICT = 409
@@ -49,7 +54,10 @@
 
     def __init__(self, info: WorkerInfo) -> None:
         self._channel = Channel(
-            info.address, ORDER_TIMEOUT, {'X-Expect-Instance': info.worker_id}
+            info.address,
+            ORDER_TIMEOUT,
+            {'X-Expect-Instance': info.worker_id},
+            CONNECTION_LIMIT,
         )
 
     async def start(self, order: StartOrder) -> OrderOutcome:
--- a/chiveworks/routing/_connections.py
+++ b/chiveworks/routing/_connections.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from chiveworks.base._connector import LoopConnector
 from chiveworks.routing._attempt_end import AttemptEnd
 from chiveworks.routing._attempt_error import AttemptError
 from chiveworks.routing._endpoint import Endpoint
@@ -71,7 +72,7 @@
         return aiohttp.ClientSession(
             # The capacity of an endpoint already limits its connections. A request in
             # the connector's own queue would look like one in progress.
-            connector=aiohttp.TCPConnector(
+            connector=LoopConnector(
                 limit=0,
                 keepalive_timeout=self._settings.idle_limit.total_seconds(),
             ),
