Contain unexpected errors to the worker, step or check that they concern

Cause: every background task of a term was critical, whatever it was for. An error in a poll, an order, a periodic check, the assignment of one step or a listener of a replica ended the term; an error in a replica of the process itself left it with the configuration of that moment for good.

Change: an order that raises has an unknown outcome and is resolved like any other; a poll that raises counts as silence of that worker; checks, steps and entries fail one by one with a log line; tasks of the process are run again. Errors in the renewal of the lease, the writer and the watches of a term still end it.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -14,7 +14,7 @@
 from chiveworks.dispatch._wait_log import WaitLog, WaitReason
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Job, StepRun, StepSpec, Task
+from chiveworks.workflow import Job, StepRun, StepSpec, Task, TaskState
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -68,7 +68,7 @@
                 ]
             if waiting:
                 claimed.extend(
-                    self._assign_run(run, waiting, service, unplaced[service])
+                    self._assign_contained(run, waiting, service, unplaced[service])
                 )
             else:
                 self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
@@ -82,6 +82,28 @@
             return self._tickets.allowed(run, workers)
         return workers
 
+    def _assign_contained(
+        self,
+        run: StepRun,
+        waiting: list[Task],
+        service: str,
+        unplaced: UnplacedSteps,
+    ) -> list[Task]:
+        """Assigns a step; after an unexpected error it waits for the next term."""
+        try:
+            return self._assign_run(run, waiting, service, unplaced)
+        except Exception as error:
+            self._log.write(
+                'step_failed',
+                job=run.job.job_id,
+                occurrence=run.occurrence,
+                step=run.step,
+                error=repr(error),
+            )
+        self._undo_claims([task for task in waiting if task.state is TaskState.CLAIMED])
+        self._table.ready.pop(run, None)
+        return []
+
     def _assign_run(
         self,
         run: StepRun,
--- a/chiveworks/dispatch/_final_records.py
+++ b/chiveworks/dispatch/_final_records.py
@@ -35,9 +35,9 @@
         else:
             self._first_read_at.pop(job_id, None)
 
-    def remove_old(self, now: timedelta) -> None:
+    def remove_old(self) -> None:
         """Requests the removal of all records that have been kept for long enough."""
-        limit = now - self._retention
+        limit = self._clock.monotonic() - self._retention
         while self._first_read_at:
             job_id, first_read_at = next(iter(self._first_read_at.items()))
             if first_read_at >= limit:
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -1,7 +1,7 @@
 """Sends start, stop and pace orders to workers and resolves their outcomes."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from typing import Any, Final
 
@@ -146,7 +146,7 @@
             task.checkpoint,
             ticket,
         )
-        return await worker.control.start(order)
+        return await self._outcome(worker.control.start(order), worker, task.ref)
 
     async def _handle_start_outcome(
         self, task: Task, worker: WorkerView, outcome: OrderOutcome, *, certain: bool
@@ -192,7 +192,11 @@
         """Sends a stop until the worker accepts it; returns whether it did."""
         sends = 0
         while task.ref in worker.tasks and task.attempt == attempt and self._term.valid:
-            outcome = await worker.control.stop(task.ref, attempt, self._term.token)
+            outcome = await self._outcome(
+                worker.control.stop(task.ref, attempt, self._term.token),
+                worker,
+                task.ref,
+            )
             sends += 1
             # The repetitions in between, every 100 ms, are not logged.
             if sends == 1 or outcome in _LAST_STOP_OUTCOMES:
@@ -214,7 +218,9 @@
     async def _withdraw(self, worker: WorkerView, ref: TaskRef, attempt: int) -> None:
         self._log_run('run_withdrawn', worker.worker_id, ref, attempt)
         if self._term.valid:
-            outcome = await worker.control.stop(ref, attempt, self._term.token)
+            outcome = await self._outcome(
+                worker.control.stop(ref, attempt, self._term.token), worker, ref
+            )
             self._log_stop(worker, ref, attempt, outcome, sends=1)
         await self._clock.sleep(RETRY_PAUSE * 3)
         self._withdrawing.discard((worker.worker_id, ref, attempt))
@@ -222,8 +228,10 @@
     async def _pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         attempt = task.attempt
         if self._term.valid:
-            outcome = await worker.control.set_pace(
-                task.ref, attempt, percent, self._term.token
+            outcome = await self._outcome(
+                worker.control.set_pace(task.ref, attempt, percent, self._term.token),
+                worker,
+                task.ref,
             )
             self._log_order(
                 'run_paced', task, worker, percent=percent, outcome=outcome.value
@@ -232,6 +240,22 @@
                 # The pace counts as unknown, so it is set again after a later report.
                 worker.set_pace(task, UNKNOWN_PACE)
 
+    async def _outcome(
+        self, order: Awaitable[OrderOutcome], worker: WorkerView, ref: TaskRef
+    ) -> OrderOutcome:
+        """Awaits an order; after an unexpected error its outcome is unknown."""
+        try:
+            return await order
+        except Exception as error:
+            self._log.write(
+                'order_failed',
+                worker=worker.worker_id,
+                job=ref.job_id,
+                task=ref[1:],
+                error=repr(error),
+            )
+            return OrderOutcome.UNKNOWN
+
     def _log_stop(
         self,
         worker: WorkerView,
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -135,6 +135,16 @@
             clock, log, self.table, self._assigner.candidates
         )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
+        self._checks = (
+            self._check_due,
+            self._check_leases,
+            self._drainer.check,
+            self._stalls.check,
+            self._consolidator.check,
+            self._starvation_guard.check,
+            self.final_records.remove_old,
+            self._model_store.check,
+        )
 
     async def run(self) -> None:
         """Schedules until the term is lost.
@@ -280,22 +290,29 @@
         while self._term.valid:
             await self._clock.sleep(TICK_INTERVAL)
             now = self._clock.monotonic()
-            if self.table.open_due() or self.table.ready:
-                self._wake.set()
-            lapsed = self.fleet.lapsed_orphans()
-            self.tracker.release_orphans(lapsed, self.fleet.missing_count)
-            self.leases.check(self.fleet.unreached_leases())
-            self._drainer.check()
-            self._stalls.check()
-            self._consolidator.check()
-            self._starvation_guard.check()
-            self.final_records.remove_old(now)
+            for check in self._checks:
+                self._run_check(check)
             if now - published_at > PENDING_INTERVAL:
                 published_at = now
                 self._publish_pending()
-            self._model_store.check()
         self._wake.set()
 
+    def _run_check(self, check: Callable[[], None]) -> None:
+        """Runs a periodic check; an unexpected error in it does not end the others."""
+        try:
+            check()
+        except Exception as error:
+            self._log.write('check_failed', check=check.__qualname__, error=repr(error))
+
+    def _check_due(self) -> None:
+        if self.table.open_due() or self.table.ready:
+            self._wake.set()
+
+    def _check_leases(self) -> None:
+        lapsed = self.fleet.lapsed_orphans()
+        self.tracker.release_orphans(lapsed, self.fleet.missing_count)
+        self.leases.check(self.fleet.unreached_leases())
+
     def _publish_pending(self) -> None:
         counts = encode_counts(dict(self.table.pending()), self._clock.now())
         self.writer.put(PENDING_KEY, counts)
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -74,13 +74,24 @@
         worker = self._worker
         wait = timedelta()
         while worker.listed or worker.tasks:
-            if await self._poll(wait):
+            if await self._poll_contained(wait):
                 wait = await self._pause_after_report()
             else:
                 wait = timedelta()
                 self._check_lapse()
                 await self._pause(RETRY_PAUSE)
 
+    async def _poll_contained(self, wait: timedelta) -> bool:
+        """Polls once; an unexpected error counts as silence of this worker only."""
+        try:
+            return await self._poll(wait)
+        except Exception as error:
+            self._log.write(
+                'poll_failed', worker=self._worker.worker_id, error=repr(error)
+            )
+            await self._handle_silence(repr(error))
+            return False
+
     async def _poll(self, wait: timedelta) -> bool:
         worker = self._worker
         polled_at = self._clock.monotonic()
--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -158,4 +158,10 @@
 
     def _notify(self, name: str, entry: _Entry | None) -> None:
         for listener in self._listeners:
-            listener(name, entry)
+            try:
+                listener(name, entry)
+            except Exception as error:
+                # The other entries still hold.
+                self._log.write(
+                    'entry_failed', key=self._prefix + name, error=repr(error)
+                )
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
 from typing import Final
@@ -37,6 +38,8 @@
 #: Pause between watches of the worker entries, each of which is rewritten every
 #: 1.5 s. A tenth of the 2 s after which a draining worker must get no more starts.
 WORKERS_WATCH_PAUSE: Final = timedelta(milliseconds=200)
+#: Pause before a task of the process that an error ended is run again.
+TASK_RESTART_PAUSE: Final = timedelta(milliseconds=250)
 #: Time for which requests are served after SIGTERM. The platform takes a machine out
 #: of rotation after two failed readiness checks, which it makes once a second.
 DRAIN_PERIOD: Final = timedelta(milliseconds=2600)
@@ -97,16 +100,25 @@
             stack.push_async_callback(self._store.close)
             stack.push_async_callback(self._advisor.close)
             replica_tasks = [
-                asyncio.create_task(self._operator_entries.run()),
-                asyncio.create_task(self._election.leader.run()),
+                asyncio.create_task(self._keep_running(replica.run))
+                for replica in (self._operator_entries, self._election.leader)
             ]
-            leader_task = asyncio.create_task(self._leader.run())
+            leader_task = asyncio.create_task(self._keep_running(self._leader.run))
             stack.push_async_callback(cancel_all, [leader_task, *replica_tasks])
             await self._listen(stack)
             await self._stopping.wait()
             await self._drain(leader_task)
         self._log.write('process_stopped')
 
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Runs a coroutine until cancelled, anew after an unexpected error."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._log.write('task_failed', task=str(run), error=repr(error))
+            await self._clock.sleep(TASK_RESTART_PAUSE)
+
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         intake = JobIntake(
             self._store, self._clock, self._log, lambda: self._store.available
