Let fast processes lead, and renew the lease beside the leader's work

Cause: who contended first led, and the renewal of the lease waited in the event loop behind recovery, scheduling and hundreds of reports.

Change: processes contend in the order of their processor time, the fastest known being registered under the watched prefix; a process that is twice as fast as the leader asks it to make way, once a term; the lease is renewed by a thread with an event loop and connections of its own, as long as the process makes progress (3 s); listings are applied in slices of 20 ms. Weighed: renewal in slices alone, which a single iteration of the event loop with hundreds of ready reports still exceeds.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -58,6 +58,7 @@
         election: Decides which process leads.
         create_scheduler: Creates the scheduler of a term.
         follow_workers: Returns a replica of the workers' entries.
+        renew: Renews the lease of a term until the term is lost.
 
     Attributes:
         scheduler: Scheduler of the current term; None while not leading.
@@ -71,6 +72,7 @@
         election: Election,
         create_scheduler: SchedulerFactory,
         follow_workers: Callable[[], Replica[WorkerInfo]],
+        renew: Callable[[Term], Coroutine[Any, Any, None]] = Term.renew_until_lost,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -78,6 +80,7 @@
         self._election = election
         self._create_scheduler = create_scheduler
         self._follow_workers = follow_workers
+        self._renew = renew
         self._term: Term | None = None
         self.scheduler: Scheduler | None = None
 
@@ -110,7 +113,7 @@
         scheduler = self._create_scheduler(term)
         try:
             self.scheduler = scheduler
-            scheduler.spawn(term.renew_until_lost())
+            scheduler.spawn(self._renew(term))
             scheduler.spawn(self._election.watch_term(term))
             for watch in await self._recover_in_time(term, scheduler):
                 scheduler.spawn(watch)
@@ -163,6 +166,7 @@
         )
 
         def accept_record(name: str, record: _Record | None) -> None:
+            term.note_progress()
             if term.lost.is_set():
                 # A listing may succeed after the recovery was given up.
                 return
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -290,6 +290,7 @@
         while self._term.valid:
             await self._clock.sleep(TICK_INTERVAL)
             now = self._clock.monotonic()
+            self._term.note_progress()
             for check in self._checks:
                 self._run_check(check)
             if now - published_at > PENDING_INTERVAL:
--- a/chiveworks/dispatch/tests/deployment.py
+++ b/chiveworks/dispatch/tests/deployment.py
@@ -16,7 +16,7 @@
 from chiveworks.dispatch import Advice, Leader, Scheduler, SchedulingBounds, WorkerInfo
 from chiveworks.events import EventLog
 from chiveworks.intake import JobIntake
-from chiveworks.metastore import Election, Replica
+from chiveworks.metastore import Candidacy, Election, Replica
 from chiveworks.workflow import JobSpec, QueuePolicy, StepSpec, Submission
 from standins.metadata import MemoryMetadataStore
 from standins.runners import LEASE_LIMIT, MemoryRunner
@@ -29,6 +29,8 @@
     timedelta(seconds=120),
 )
 QUEUE = QueuePolicy('urgent', 'pool', attempt_limit=3)
+#: Contends for leadership without a delay.
+EAGER = Candidacy(cores=1_000_000)
 
 
 class RecordingLog(EventLog):
@@ -96,9 +98,7 @@
 
     def process(self, name):
         """Starts a process that campaigns for leadership; returns its task."""
-        election = Election(
-            self.store, self.clock, self.log, EntryId(name), timedelta()
-        )
+        election = Election(self.store, self.clock, self.log, EntryId(name), EAGER)
         leader = Leader(
             self.store,
             self.clock,
--- a/chiveworks/dispatch/tests/faulty_deployment.py
+++ b/chiveworks/dispatch/tests/faulty_deployment.py
@@ -2,11 +2,10 @@
 
 import functools
 from collections import defaultdict
-from datetime import timedelta
 
 from chiveworks.base import EntryId
 from chiveworks.dispatch import Leader, WorkerInfo
-from chiveworks.dispatch.tests.deployment import InMemoryDeployment
+from chiveworks.dispatch.tests.deployment import EAGER, InMemoryDeployment
 from chiveworks.dispatch.tests.faulty_links import StoreLink, WorkerLink
 from chiveworks.dispatch.tests.observed_runner import (
     ObservedRunner,
@@ -63,7 +62,7 @@
     def start_process(self, machine):
         """Starts a process on a machine, which campaigns for leadership."""
         store = self.store_links[machine]
-        election = Election(store, self.clock, self.log, EntryId(machine), timedelta())
+        election = Election(store, self.clock, self.log, EntryId(machine), EAGER)
         leader = Leader(
             store,
             self.clock,
--- a/chiveworks/dispatch/tests/test_handed_over_leases.py
+++ b/chiveworks/dispatch/tests/test_handed_over_leases.py
@@ -7,7 +7,7 @@
 
 from chiveworks.base import EntryId, Failure, JobId, Resources, Step
 from chiveworks.dispatch import Leader, OrderOutcome
-from chiveworks.dispatch.tests.deployment import InMemoryDeployment
+from chiveworks.dispatch.tests.deployment import EAGER, InMemoryDeployment
 from chiveworks.dispatch.tests.lasting_runner import LASTING, add_lasting_worker
 from chiveworks.metastore import Election
 from chiveworks.workflow import StepSpec, TaskRef
@@ -74,7 +74,7 @@
     def add_process(self, name, customize=None):
         """Starts a process; `customize` changes the scheduler of each of its terms."""
         store = StoreLink(self)
-        election = Election(store, self.clock, self.log, EntryId(name), timedelta())
+        election = Election(store, self.clock, self.log, EntryId(name), EAGER)
 
         def create_scheduler(term):
             scheduler = self._create_scheduler(term)
--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -1,5 +1,6 @@
 """Interface of the metadata store, with leader election, fencing and replicas."""
 
+from chiveworks.metastore._candidacy import Candidacy
 from chiveworks.metastore._election import Election
 from chiveworks.metastore._keys import (
     JOB_PREFIX,
@@ -10,6 +11,7 @@
     job_key,
     progress_key,
 )
+from chiveworks.metastore._lease_thread import LeaseThread
 from chiveworks.metastore._metadata_store import (
     Committed,
     Conflict,
@@ -28,9 +30,11 @@
     'PENDING_KEY',
     'PRESSURE_KEY',
     'PROGRESS_PREFIX',
+    'Candidacy',
     'Committed',
     'Conflict',
     'Election',
+    'LeaseThread',
     'Listing',
     'MetadataStore',
     'Replica',
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -10,7 +10,14 @@
 
 from chiveworks.base import Clock, EntryId, Epoch, Revision, StoreLeaseId
 from chiveworks.events import EventLog
-from chiveworks.metastore._keys import LEADER_KEY, LEADER_PREFIX, SEQUENCE_KEY
+from chiveworks.metastore._candidacy import Candidacy
+from chiveworks.metastore._keys import (
+    CHALLENGE_KEY,
+    LEADER_KEY,
+    LEADER_PREFIX,
+    SEQUENCE_KEY,
+    SPEED_KEY,
+)
 from chiveworks.metastore._metadata_store import (
     Committed,
     MetadataStore,
@@ -27,7 +34,19 @@
 RETRY_PAUSE: Final = timedelta(milliseconds=60)
 #: Interval between checks for a vacancy.
 _POLL_INTERVAL: Final = timedelta(milliseconds=25)
+#: Time for which a slower leader leads before a faster process takes over, so that
+#: takeovers do not follow each other quickly.
+TAKEOVER_AFTER: Final = timedelta(seconds=2)
+#: Upper bound of the random delay before a takeover, so that one process begins it.
+TAKEOVER_DELAY: Final = timedelta(milliseconds=300)
+#: Interval between checks whether this process should take over.
+TAKEOVER_INTERVAL: Final = timedelta(milliseconds=500)
+#: Time for which a leader that has made way, or has lost its term under its own work,
+#: leaves the leadership to others.
+REST: Final = timedelta(seconds=1)
 _HOLDER_NAME: Final = LEADER_KEY.removeprefix(LEADER_PREFIX)
+_SPEED_NAME: Final = SPEED_KEY.removeprefix(LEADER_PREFIX)
+_CHALLENGE_NAME: Final = CHALLENGE_KEY.removeprefix(LEADER_PREFIX)
 
 
 class Election:
@@ -38,11 +57,11 @@
         clock: Source of time.
         log: Log for the election of this process.
         process: Name of this process, stored in the leader key for operators.
-        max_campaign_delay: Upper bound of the random delay before this process
-            contends; shorter on larger machines, so that they are preferred.
+        candidacy: Order in which processes contend.
 
     Attributes:
-        leader: Replica of the leader key.
+        leader: Replica of the leader key, the speed of the fastest process and the
+            latest challenge of a leader.
     """
 
     def __init__(
@@ -51,13 +70,13 @@
         clock: Clock,
         log: EventLog,
         process: EntryId,
-        max_campaign_delay: timedelta,
+        candidacy: Candidacy,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._process = process
-        self._max_campaign_delay = max_campaign_delay
+        self._candidacy = candidacy
         self._changed = asyncio.Event()
         self._candidacy_paused_until = timedelta()
         self._last_leader_value = ''
@@ -86,15 +105,30 @@
         """Contends until this process is the leader, and returns its term."""
         while True:
             await self._wait_for_vacancy()
-            await self._clock.sleep(self._max_campaign_delay * random.random())
+            await self._clock.sleep(self._candidacy.delay(self._fastest_cores()))
             if self.vacant:
                 term = await self._contend()
                 if term is not None:
                     return term
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def challenge_slower_leaders(self) -> None:
+        """Registers the speed of this process and takes over from slower leaders."""
+        registered = False
+        holder_value: str | None = None
+        since = timedelta()
+        while True:
+            registered = registered or await self._register_speed()
+            await self._clock.sleep(TAKEOVER_INTERVAL)
+            now = self._clock.monotonic()
+            current = self.leader.entries.get(_HOLDER_NAME)
+            if current != holder_value:
+                holder_value, since = current, now
+            elif current and now - since >= TAKEOVER_AFTER and self._outranks(current):
+                await self._challenge(current)
+
     async def watch_term(self, term: Term) -> None:
-        """Ends the term once the store names another leader or none.
+        """Ends the term once the store names another leader or none, or for a faster one.
 
         The store may remove the leader key although it still renews the lease.
         """
@@ -107,6 +141,10 @@
             elif confirmed or holder_value not in {None, self._replaced_leader_value}:
                 term.end('the leader key has changed')
                 return
+            if self.leader.entries.get(_CHALLENGE_NAME) == term.leader_value:
+                self.pause_candidacy(REST)
+                await term.resign('makes way for a faster process')
+                return
             await self._changed.wait()
 
     async def _wait_for_vacancy(self) -> None:
@@ -116,6 +154,55 @@
     def _on_change(self, _name: str, _leader: str | None) -> None:
         self._changed.set()
 
+    def _fastest_cores(self) -> float:
+        return _parse_cores(self.leader.entries.get(_SPEED_NAME, ''))
+
+    def _outranks(self, holder_value: str) -> bool:
+        challenged = self.leader.entries.get(_CHALLENGE_NAME) == holder_value
+        paused = self._clock.monotonic() < self._candidacy_paused_until
+        leader_cores = _parse_cores(holder_value)
+        return (
+            leader_cores > 0
+            and not challenged
+            and not paused
+            and self._candidacy.outranks(leader_cores)
+        )
+
+    async def _register_speed(self) -> bool:
+        """Stores the speed of this process if it is the fastest; tells if that is done."""
+        if not self.leader.synced:
+            return False
+        cores = self._candidacy.cores
+        if cores <= self._fastest_cores():
+            return True
+        stored = await self._store.read(SPEED_KEY)
+        if isinstance(stored, Err):
+            return False
+        item = stored.ok_value
+        if cores <= _parse_cores((item.content or b'').decode(errors='replace')):
+            return True
+        transaction = Transaction(
+            {SPEED_KEY: item.revision}, {SPEED_KEY: f'{cores:g}'.encode()}
+        )
+        result = await self._store.commit(transaction)
+        return isinstance(result, Ok) and isinstance(result.ok_value, Committed)
+
+    async def _challenge(self, holder_value: str) -> None:
+        await self._clock.sleep(TAKEOVER_DELAY * random.random())
+        if self.leader.entries.get(_HOLDER_NAME) != holder_value:
+            return
+        stored = await self._store.read(CHALLENGE_KEY)
+        if isinstance(stored, Err):
+            return
+        content = holder_value.encode()
+        if stored.ok_value.content == content:
+            return
+        transaction = Transaction(
+            {CHALLENGE_KEY: stored.ok_value.revision}, {CHALLENGE_KEY: content}
+        )
+        await self._store.commit(transaction)
+        self._log.write('leader_challenged', leader=holder_value)
+
     async def _contend(self) -> Term | None:
         sequence_result = await self._store.read(SEQUENCE_KEY)
         holder_result = await self._store.read(LEADER_KEY)
@@ -130,7 +217,8 @@
         lease_result = await self._store.grant_lease(LEADER_TTL)
         if isinstance(lease_result, Err):
             return None
-        leader_value = f'{self._process} {secrets.token_hex(8)}'
+        cores = self._candidacy.cores
+        leader_value = f'{self._process} {secrets.token_hex(8)} {cores:g}'
         expected = {
             LEADER_KEY: holder_result.ok_value.revision,
             SEQUENCE_KEY: sequence_result.ok_value.revision,
@@ -154,7 +242,9 @@
         )
         self._replaced_leader_value = self._last_leader_value
         self._last_leader_value = leader_value
-        self._log.write('leadership_gained', token=revision, process=self._process)
+        self._log.write(
+            'leadership_gained', token=revision, process=self._process, cores=cores
+        )
         return term
 
     async def _acquire_leader_key(
@@ -178,5 +268,14 @@
         return None
 
 
+def _parse_cores(text: str) -> float:
+    """Returns the number at the end of a leader value or speed; 0 if there is none."""
+    number = text.rpartition(' ')[2]
+    try:
+        return float(number)
+    except ValueError:
+        return 0
+
+
 def _decode_leader(_name: str, content: bytes) -> str:
     return content.decode(errors='replace')
--- a/chiveworks/metastore/_keys.py
+++ b/chiveworks/metastore/_keys.py
@@ -7,6 +7,10 @@
 #: Leader key, bound to the store lease of the leading process.
 LEADER_PREFIX: Final = 'chiveworks/leader/'
 LEADER_KEY: Final = 'chiveworks/leader/holder'
+#: Processor time of the fastest process that has ever registered, in cores.
+SPEED_KEY: Final = 'chiveworks/leader/speed'
+#: Value of the leader key of the term that a faster process asks to end.
+CHALLENGE_KEY: Final = 'chiveworks/leader/challenge'
 #: Written by every transaction of the leader, each of which expects the revision
 #: written by the one before it.
 SEQUENCE_KEY: Final = 'chiveworks/sequence'
--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -15,6 +15,8 @@
 WATCH_WAIT: Final = timedelta(milliseconds=1500)
 #: Mean pause after a failed call; the actual pause is 0.5 to 1.5 times as long.
 RETRY_PAUSE: Final = timedelta(milliseconds=120)
+#: Time after which the application of a listing lets other tasks run.
+LISTING_SLICE: Final = timedelta(milliseconds=20)
 
 NO_PAUSE: Final = timedelta()
 
@@ -100,8 +102,12 @@
         present = {item.key for item in listing.items}
         for key in self._revisions.keys() - present:
             self._apply(StoreItem(key, listing.revision, None))
+        slice_end = self._clock.monotonic() + LISTING_SLICE
         for item in listing.items:
             self._apply(item)
+            if self._clock.monotonic() >= slice_end:
+                await self._clock.sleep(NO_PAUSE)
+                slice_end = self._clock.monotonic() + LISTING_SLICE
         self._after = listing.revision
         self.synced = True
         return ''
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -23,6 +23,9 @@
 #: at different speeds. The store measures the lease from the arrival of a renewal,
 #: which is later than its sending.
 VALIDITY_MARGIN: Final = timedelta(milliseconds=100)
+#: Time without progress after which the lease is not renewed any more, so that a
+#: process that no longer schedules does not keep others from leading.
+PROGRESS_LIMIT: Final = timedelta(seconds=3)
 #: Pause before a write that failed or has an unknown outcome is retried.
 WRITE_RETRY_PAUSE: Final = timedelta(milliseconds=30)
 
@@ -52,6 +55,7 @@
     Attributes:
         valid_until: When the term ends unless its lease is renewed.
         lost: Set once the term has ended.
+        progressed_at: When the process last did work of the term.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         self.previous_token = previous_token
         self.valid_until = acquired_at + ttl - VALIDITY_MARGIN
         self.lost = asyncio.Event()
+        self.progressed_at = clock.monotonic()
         self._store = store
         self._clock = clock
         self._log = log
@@ -90,27 +95,47 @@
             self.lost.set()
             self._log.write('leadership_lost', token=self.token, reason=reason)
 
+    def note_progress(self) -> None:
+        """Takes note that the process still does the work of the term."""
+        self.progressed_at = self._clock.monotonic()
+
     async def renew_until_lost(self) -> None:
         """Renews the lease until the term is lost."""
+        self.end(await self.keep_lease(self._store))
+
+    async def keep_lease(self, store: MetadataStore) -> str:
+        """Renews the lease as long as the process makes progress.
+
+        Does not change the state of the term but for `valid_until`, so that it can run
+        in another thread.
+
+        Args:
+            store: Client of the store to renew the lease with.
+
+        Returns:
+            Why the term has ended.
+        """
         while self.valid:
             sent_at = self._clock.monotonic()
-            result = await self._store.renew_lease(self._lease)
+            if sent_at - self.progressed_at > PROGRESS_LIMIT:
+                await self._clock.sleep(self._ttl / 15)
+                continue
+            result = await store.renew_lease(self._lease)
             if isinstance(result, Err):
                 await self._clock.sleep(self._ttl / 15)
                 continue
             if not result.ok_value:
-                self.end('the lease has ended')
-                return
+                return 'the lease has ended'
             if self._clock.monotonic() >= self.valid_until:
                 # Work of the term may already have been given up.
                 break
             self.valid_until = sent_at + self._ttl - VALIDITY_MARGIN
             await self._clock.sleep(self._ttl / 4)
-        self.end('the lease was not renewed in time')
+        return 'the lease was not renewed in time'
 
-    async def resign(self) -> None:
+    async def resign(self, reason: str = 'resigned') -> None:
         """Ends the term and revokes its lease, so that another process can lead."""
-        self.end('resigned')
+        self.end(reason)
         await self._store.revoke_lease(self._lease)
 
     async def write(
--- a/chiveworks/metastore/tests/test_term.py
+++ b/chiveworks/metastore/tests/test_term.py
@@ -7,7 +7,7 @@
 
 from chiveworks.base import EntryId, ManualClock
 from chiveworks.events import EventLog
-from chiveworks.metastore import Election, Replica, Term, TermLostError
+from chiveworks.metastore import Candidacy, Election, Replica, Term, TermLostError
 from standins.metadata import MemoryMetadataStore
 
 SECOND = timedelta(seconds=1)
@@ -29,9 +29,9 @@
         self.log = RecordingLog(self.clock)
         self.tasks = []
 
-    def election(self, name):
+    def election(self, name, cores=1_000_000):
         election = Election(
-            self.store, self.clock, self.log, EntryId(name), timedelta()
+            self.store, self.clock, self.log, EntryId(name), Candidacy(cores)
         )
         self.run(election.leader.run())
         return election
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
 from typing import Final
@@ -14,7 +14,7 @@
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
 from chiveworks.intake import JobIntake, QueueCatalogue
-from chiveworks.metastore import Election, Replica, Term
+from chiveworks.metastore import Candidacy, Election, LeaseThread, Replica, Term
 from chiveworks.platform._advice_client import HttpAdvisor
 from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
 from chiveworks.platform._client_api import ClientApi
@@ -30,9 +30,6 @@
 
 #: Port on which metrics are served; must match the deploy file.
 METRICS_PORT: Final = 9464
-#: Upper bound of the random delay before a machine with one core contends for
-#: leadership. The bound is divided by the number of cores to favour larger machines.
-SINGLE_CORE_CAMPAIGN_DELAY: Final = timedelta(milliseconds=40)
 #: Time since the last successful store call after which the process is not ready.
 MAX_STORE_SILENCE: Final = timedelta(seconds=3)
 #: Pause between watches of the worker entries, each of which is rewritten every
@@ -75,9 +72,12 @@
             self._store, 'op/', decode_operator_entry, self._clock, self._log
         )
         self._operator_entries.subscribe(self._on_operator_entry)
-        max_campaign_delay = SINGLE_CORE_CAMPAIGN_DELAY / max(settings.cores, 0.1)
         self._election = Election(
-            self._store, self._clock, self._log, settings.process, max_campaign_delay
+            self._store,
+            self._clock,
+            self._log,
+            settings.process,
+            Candidacy(settings.cores),
         )
         self._leader = Leader(
             self._store,
@@ -86,6 +86,7 @@
             self._election,
             self._create_scheduler,
             self._follow_workers,
+            LeaseThread(self._open_store).renew,
         )
         self._stopping = asyncio.Event()
 
@@ -103,6 +104,11 @@
                 asyncio.create_task(self._keep_running(replica.run))
                 for replica in (self._operator_entries, self._election.leader)
             ]
+            replica_tasks.append(
+                asyncio.create_task(
+                    self._keep_running(self._election.challenge_slower_leaders)
+                )
+            )
             leader_task = asyncio.create_task(self._keep_running(self._leader.run))
             stack.push_async_callback(cancel_all, [leader_task, *replica_tasks])
             await self._listen(stack)
@@ -140,6 +146,15 @@
             stack.push_async_callback(runner.cleanup)
             await web.TCPSite(runner, *address, backlog=512).start()
 
+    @contextlib.asynccontextmanager
+    async def _open_store(self) -> AsyncIterator[HttpMetadataStore]:
+        """Opens a client of the store for the running event loop."""
+        store = HttpMetadataStore(self._settings.store, self._clock, _ignore_store_call)
+        try:
+            yield store
+        finally:
+            await store.close()
+
     async def _drain(self, leader_task: 'asyncio.Task[None]') -> None:
         self._log.write('process_stopping')
         await cancel_all([leader_task])
@@ -219,3 +234,7 @@
 
     def _evacuated(self, zone: ZoneName) -> bool:
         return EVACUATION_PREFIX + zone in self._operator_entries.entries
+
+
+def _ignore_store_call(_path: str, _duration: timedelta, _success: bool) -> None:
+    """Observes calls of another thread, which the metrics do not count."""
