--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -66,10 +66,15 @@
         self._after: Revision | None = None
         self._listeners: list[Callable[[str, _Entry | None], None]] = []
         self._skip_reasons: dict[str, str] = {}
+        self._failed: set[str] = set()
         self._failure = ''
 
     def subscribe(self, listener: Callable[[str, _Entry | None], None]) -> None:
-        """Calls `listener` on each change; the entry is None if it was removed."""
+        """Calls `listener` on each change; the entry is None if it was removed.
+
+        If it raises an error, it is called again with the entry before the next call
+        to the store.
+        """
         self._listeners.append(listener)
 
     async def run(self) -> None:
@@ -82,6 +87,7 @@
 
     async def step(self) -> bool:
         """Lists the prefix or watches it once; returns whether the call succeeded."""
+        self._retry_failed()
         earlier_failure = self._failure
         self._failure = await (self._list() if self._after is None else self._watch())
         place = {'prefix': self._prefix, 'revision': self._after}
@@ -167,7 +173,15 @@
             try:
                 listener(name, entry)
             except Exception as error:
-                # The other entries still hold.
+                # The other entries still hold; this one is offered again.
+                self._failed.add(name)
                 self._log.write(
                     'entry_failed', key=self._prefix + name, error=repr(error)
                 )
+
+    def _retry_failed(self) -> None:
+        """Offers the entries again whose listeners raised an error."""
+        failed = self._failed
+        self._failed = set()
+        for name in failed:
+            self._notify(name, self.entries.get(name))
