Count crashes by incarnation and by when workers were lost

A task that crashes its workers was started 19 times instead of 4 at most if leaders changed and workers came back under their ids; and without end while more than a sixth of the workers were out of reach at the same time (BUDGET).

Cause: an adopted run that the worker no longer lists says nothing of the incarnation it was started on; and any number of workers out of reach counted as one common cause, also if they had crashed one after the other.

Change: a claim stores the incarnation of its worker, so that the next leader sees that it is gone. Workers share a cause only if contact was lost within a second of each other, which covers the interval of their polls.

--- a/chiveworks/dispatch/_crash_suspicion.py
+++ b/chiveworks/dispatch/_crash_suspicion.py
@@ -1,6 +1,7 @@
 """Finds the tasks that crash the workers on which they start."""
 
 from collections.abc import Mapping, Sequence
+from datetime import timedelta
 from typing import Final
 
 from chiveworks.base import WorkerId
@@ -11,10 +12,13 @@
 
 #: Number of lost workers in a row after which a task is given up.
 CRASH_LIMIT: Final = 3
-#: Share and number of workers out of reach at the same time above which a common cause,
+#: Share and number of workers lost at about the same time above which a common cause,
 #: such as a cut, is assumed. Both must be exceeded.
 COMMON_CAUSE_SHARE: Final = 0.15
 COMMON_CAUSE_COUNT: Final = 4
+#: Maximum time between two losses of contact with such a cause. A lost worker is noticed
+#: at its next poll, within about a second.
+COMMON_CAUSE_WINDOW: Final = timedelta(seconds=1)
 
 
 class CrashSuspicion:
@@ -43,10 +47,13 @@
         if not lost:
             return
         suspects = [
-            task for task in lost if task.sent and not has_survived(worker, task)
+            task
+            for task in lost
+            if task.sent
+            # An earlier leader may have seen it survive, but that is not known.
+            and (is_of_earlier_life(task, worker) or not has_survived(worker, task))
         ]
-        silent = sum(not each.live for each in self._workers.values())
-        if worker.info.draining or self._have_common_cause(silent):
+        if worker.info.draining or self._have_common_cause(self._lost_with(worker)):
             suspects.clear()
         for suspect in suspects:
             suspect.crashes += 1
@@ -70,11 +77,32 @@
         for task in orphans:
             task.crashes += 1
 
+    def _lost_with(self, worker: WorkerView) -> int:
+        """Returns how many workers were lost at about the same time as a worker.
+
+        Workers that crashed one after the other, and are out of reach at the same time
+        for that reason, have no common cause.
+        """
+        # A restart may be noticed without a loss of contact.
+        lease = worker.lease
+        lost_at = lease.observed_at if worker.live else lease.lost_at
+        losses = (each.lease.lost_at for each in self._workers.values())
+        return sum(
+            abs(loss - (lost_at or lease.observed_at)) <= COMMON_CAUSE_WINDOW
+            for loss in losses
+            if loss is not None
+        )
+
     def _have_common_cause(self, lost_count: int) -> bool:
         limit = max(COMMON_CAUSE_COUNT, COMMON_CAUSE_SHARE * len(self._workers))
         return lost_count > limit
 
 
+def is_of_earlier_life(task: Task, worker: WorkerView) -> bool:
+    """Whether a run was claimed for an incarnation of the worker that is gone."""
+    return task.worker_born_ms not in {0, worker.born_ms}
+
+
 def is_given_up(task: Task) -> bool:
     """Whether too many workers have crashed when a task was started."""
     return task.crashes >= CRASH_LIMIT
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -4,7 +4,11 @@
 from datetime import timedelta
 
 from chiveworks.base import Clock
-from chiveworks.dispatch._crash_suspicion import CrashSuspicion, is_given_up
+from chiveworks.dispatch._crash_suspicion import (
+    CrashSuspicion,
+    is_given_up,
+    is_of_earlier_life,
+)
 from chiveworks.dispatch._health import WorkerHealth
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._probation import has_survived
@@ -202,9 +206,15 @@
     def _release_missing(
         self, worker: WorkerView, listed: set[TaskRef], polled_at: timedelta
     ) -> None:
-        for ref, task in tuple(worker.tasks.items()):
-            if ref not in listed and _must_be_listed(task, polled_at):
-                self.release(worker, task, 'not listed by the worker')
+        missing = [
+            task
+            for ref, task in worker.tasks.items()
+            if ref not in listed and _must_be_listed(task, polled_at)
+        ]
+        crashed = [task for task in missing if is_of_earlier_life(task, worker)]
+        self._suspicion.record_loss(worker, crashed)
+        for task in missing:
+            self.release(worker, task, 'not listed by the worker')
 
 
 def _reason_to_stop(task: Task) -> str:
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -21,12 +21,15 @@
 
     Attributes:
         frozen: Whether the lease must not be extended.
+        lost_at: When contact with the worker was last lost, or could not be made; None
+            if that never happened.
     """
 
     def __init__(
         self, limit: timedelta, now: timedelta, lapses_at: timedelta | None = None
     ) -> None:
         self.frozen = False
+        self.lost_at: timedelta | None = None
         self._limit = limit
         if lapses_at is None:
             lapses_at = now + limit / (1 - CLOCK_DRIFT) + LAPSE_SLACK
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -152,9 +152,11 @@
 
     async def _handle_silence(self, reason: str) -> None:
         worker = self._worker
+        now = self._clock.monotonic()
+        if worker.live or worker.lease.lost_at is None:
+            worker.lease.lost_at = now
         if worker.live:
             worker.live = False
-            now = self._clock.monotonic()
             self._log_contact(
                 'worker_silent',
                 now,
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -172,7 +172,8 @@
     if task.state is TaskState.DONE:
         return key
     counts = (task.attempt, task.failures)
-    return (*key, *counts, task.worker or '', task.checkpoint, task.crashes)
+    run = (task.worker or '', task.checkpoint, task.crashes, task.worker_born_ms)
+    return (*key, *counts, *run)
 
 
 def _unpack_task(task: Task, row: list[Any], state: int) -> None:
@@ -184,8 +185,9 @@
     task.failures = row[5]
     task.worker = WorkerId(row[6]) if row[6] else None
     task.checkpoint = row[7]
-    # Processes of an earlier version do not store the number of crashes.
+    # Processes of an earlier version do not store these two.
     task.crashes = check_whole('crashes', row[8]) if len(row) > 8 else 0
+    task.worker_born_ms = check_whole('born', row[9]) if len(row) > 9 else 0
     # The previous leader may have sent the start at any time after the claim.
     task.sent = task.active
 
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -53,6 +53,8 @@
         failures: Number of runs that failed.
         crashes: Number of workers in a row that were lost as the task started.
         worker: Worker of the claimed or current run.
+        worker_born_ms: Start time of the worker's incarnation at the claim; 0 when
+            unknown.
         checkpoint: Latest checkpoint; empty if there is none.
         started_at: When the start of the current run was confirmed.
         progress_percent: Progress last reported by the worker.
@@ -75,6 +77,7 @@
     failures: int = 0
     crashes: int = 0
     worker: WorkerId | None = None
+    worker_born_ms: int = 0
     checkpoint: str = ''
     started_at: timedelta | None = None
     progress_percent: int = 0
@@ -97,11 +100,12 @@
         """Whether the task occupies capacity on a worker."""
         return TaskState.CLAIMED <= self.state <= TaskState.STOPPING
 
-    def claim(self, worker: WorkerId) -> None:
+    def claim(self, worker: WorkerId, worker_born_ms: int = 0) -> None:
         """Assigns the next run to a worker, before its start is sent."""
         self.attempt = self.step_run.next_attempt(self)
         self.state = TaskState.CLAIMED
         self.worker = worker
+        self.worker_born_ms = worker_born_ms
         self.sent = False
         self.started_at = None
         self.progress_percent = 0
