Bound rounds of assignment, and slow down polls while the scheduler is behind

On small instances a round of assignment took as long as the backlog was long, and hundreds of polls a second left no time for starts; each term ended under that work.

Change: a round ends after 60 ms and goes on with the steps that were not tried; pauses between polls grow with the lag of the event loop up to 0.6 s, so that a report covers more ends; a scheduler that is late says so in its log. Leases of instances with less than a quarter of a core last longer, up to 3 s. Events are counted in memory and exported when metrics are read; the share of compatible images is computed once for a list of workers instead of for each rating.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import Final
 
 from chiveworks.base import Clock
 from chiveworks.dispatch._advice import TicketCache
@@ -16,6 +17,8 @@
 from chiveworks.events import EventLog
 from chiveworks.workflow import Job, StepRun, StepSpec, Task, TaskState
 
+#: Time after which a round of assignment lets other work of the leader go on.
+ROUND_BUDGET: Final = timedelta(milliseconds=60)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -29,6 +32,9 @@
         placer: Picks workers.
         service_of: Returns the service that currently runs a job's tasks.
         tickets: Tickets for queues with an external policy.
+
+    Attributes:
+        unfinished: Whether steps are left to try by the next call.
     """
 
     def __init__(
@@ -47,13 +53,26 @@
         self._service_of = service_of
         self._tickets = tickets
         self._wait_log = WaitLog(clock, log, placer)
+        self._tried: set[StepRun] = set()
+        self.unfinished = False
 
     def assign(self) -> list[Task]:
-        """Claims workers for all waiting tasks that fit; returns the tasks."""
+        """Claims workers for waiting tasks that fit; returns the tasks.
+
+        A call ends after about `ROUND_BUDGET`, and the next one goes on with the steps
+        that have not been tried. The load that this answers: a backlog of steps for
+        which there is no room, each of which takes time to try on all workers.
+        """
         now = self._clock.monotonic()
         claimed: list[Task] = []
         unplaced: defaultdict[str, UnplacedSteps] = defaultdict(UnplacedSteps)
         for run in by_urgency(self._table.ready, now):
+            if run in self._tried:
+                continue
+            if self._clock.monotonic() - now >= ROUND_BUDGET:
+                self.unfinished = True
+                return claimed
+            self._tried.add(run)
             waiting = run.waiting()
             if not waiting:
                 self._table.ready.pop(run, None)
@@ -73,6 +92,8 @@
             else:
                 self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
         self._wait_log.retain(self._table.ready)
+        self._tried.clear()
+        self.unfinished = False
         return claimed
 
     def candidates(self, run: StepRun) -> list[WorkerView]:
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -71,6 +71,8 @@
         self._model = model
         self._available: list[WorkerView] = []
         self._available_updated_at = -2 * AVAILABLE_MAX_AGE
+        # Kept as long as the list of workers; the model changes with each report.
+        self._compatible_shares: dict[frozenset[str], float] = {}
         self._forecast = InterferenceForecast(model)
         self.probation = Probation(clock)
 
@@ -155,6 +157,7 @@
         now = self._clock.monotonic()
         if now - self._available_updated_at > AVAILABLE_MAX_AGE:
             self._available_updated_at = now
+            self._compatible_shares.clear()
             self._available = [
                 worker
                 for worker in self._workers.values()
@@ -286,10 +289,18 @@
             return SAME_IMAGE_BONUS - free_share
         if not present:
             return -free_share
-        before = self._model.compatible_share(present)
-        after = self._model.compatible_share((*present, spec.image))
+        before = self._compatible_share(frozenset(present))
+        after = self._compatible_share(frozenset((*present, spec.image)))
         return -MIXED_IMAGES_PENALTY * (before - after) - free_share
 
+    def _compatible_share(self, serving: frozenset[str]) -> float:
+        """Returns the share of filling images that do not disturb any of the images."""
+        share = self._compatible_shares.get(serving)
+        if share is None:
+            share = self._model.compatible_share(serving)
+            self._compatible_shares[serving] = share
+        return share
+
     def _undisturbed(self, worker: WorkerView, spec: StepSpec) -> bool:
         """Whether a filling task gets its processor time without disturbing others."""
         if share_left(worker, spec) < -OVERCOMMIT_SHARE:
--- a/chiveworks/dispatch/_room_checks.py
+++ b/chiveworks/dispatch/_room_checks.py
@@ -38,7 +38,9 @@
         spec: Step of the task.
         without: Claims on the worker that will have been freed by then.
     """
-    capacity, demand = worker.info.capacity, spec.demand - without
+    capacity, demand = worker.info.capacity, spec.demand
+    if without is not NO_RESOURCES:
+        demand -= without
     if worker.allocated.memory_bytes + demand.memory_bytes > capacity.memory_bytes:
         return False
     if worker.allocated.accelerators + demand.accelerators > capacity.accelerators:
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -20,6 +20,7 @@
 from chiveworks.dispatch._interference_model import InterferenceModel
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._lease_handover import LeaseHandover
+from chiveworks.dispatch._load_meter import LoadMeter
 from chiveworks.dispatch._model_store import ModelStore
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
@@ -49,6 +50,8 @@
 #: Interval at which the numbers of pending jobs are published. The platform allows
 #: them to be 2 s old.
 PENDING_INTERVAL: Final = timedelta(milliseconds=700)
+#: Lag of the event loop from which the log names it.
+NOTABLE_LAG: Final = timedelta(milliseconds=50)
 #: Minimum pause between two assignment rounds. After a longer round the pause is as
 #: long as the round, so that reports and lease renewals are not delayed.
 MIN_ROUND_PAUSE: Final = timedelta(milliseconds=4)
@@ -87,6 +90,7 @@
         self._failure: BaseException | None = None
         self._unsent_claims: dict[JobId, list[Task]] = {}
         self._stopping_gangs: set[StepRun] = set()
+        self._load = LoadMeter()
         self.writer = ProgressWriter(term, clock, self._on_durable)
         self.final_records = FinalRecords(clock, self.writer, 2 * bounds.retention)
         self.leases = LeaseHandover(term, clock, log, self.writer, bounds.lease_limit)
@@ -162,6 +166,8 @@
             self._wake.clear()
             began_at = self._clock.monotonic()
             self._assign()
+            if self._assigner.unfinished:
+                self._wake.set()
             took = self._clock.monotonic() - began_at
             await self._clock.sleep(max(MIN_ROUND_PAUSE, took))
         if self._failure is not None:
@@ -272,7 +278,13 @@
         self.handover.resume_worker(worker)
         self._wake.set()
         return WorkerSession(
-            self._term, self._clock, self._log, worker, self.tracker, self._on_report
+            self._term,
+            self._clock,
+            self._log,
+            worker,
+            self.tracker,
+            self._on_report,
+            self._load,
         )
 
     def _on_child_done(self, child: asyncio.Task[None]) -> None:
@@ -293,13 +305,16 @@
     async def _tick(self) -> None:
         published_at = timedelta()
         while self._term.valid:
+            slept_at = self._clock.monotonic()
             await self._clock.sleep(TICK_INTERVAL)
             now = self._clock.monotonic()
+            self._load.observe(now - slept_at - TICK_INTERVAL)
             self._term.note_progress()
             for check in self._checks:
                 self._run_check(check)
             if now - published_at > PENDING_INTERVAL:
                 published_at = now
+                self._log_lag()
                 self._publish_pending()
         self._wake.set()
 
@@ -319,6 +334,14 @@
         self.tracker.release_orphans(lapsed, self.fleet.missing_count)
         self.leases.check(self.fleet.unreached_leases())
 
+    def _log_lag(self) -> None:
+        if self._load.lag >= NOTABLE_LAG:
+            self._log.write(
+                'scheduler_late',
+                lag_ms=self._load.lag // timedelta(milliseconds=1),
+                waiting_steps=len(self.table.ready),
+            )
+
     def _publish_pending(self) -> None:
         counts = encode_counts(dict(self.table.pending()), self._clock.now())
         self.writer.put(PENDING_KEY, counts)
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from chiveworks.base import Clock
+from chiveworks.dispatch._load_meter import LoadMeter
 from chiveworks.dispatch._run_tracker import RunTracker
 from chiveworks.dispatch._worker_control import WorkerReport
 from chiveworks.dispatch._worker_view import WorkerView
@@ -41,6 +42,7 @@
         worker: Worker to poll.
         tracker: Applies reports.
         reported: Called after each report has been applied.
+        load: Tells by how much pauses between polls are stretched.
 
     Attributes:
         frequent_polling: Whether polls use the shorter wait, so that reports are
@@ -55,6 +57,7 @@
         worker: WorkerView,
         tracker: RunTracker,
         reported: Callable[[WorkerView], None],
+        load: LoadMeter,
     ) -> None:
         self._term = term
         self._clock = clock
@@ -62,6 +65,7 @@
         self._worker = worker
         self._tracker = tracker
         self._reported = reported
+        self._load = load
         self._wake = asyncio.Event()
         self.frequent_polling = False
 
@@ -181,7 +185,7 @@
 
     async def _pause_after_report(self) -> timedelta:
         """Pauses before the next poll; returns how long that poll may wait."""
-        await self._pause(POLL_GAP)
+        await self._pause(self._load.stretch(POLL_GAP))
         worker = self._worker
         started_at = self._clock.monotonic()
         while worker.unacknowledged and worker.acknowledge() < worker.applied_end:
--- a/chiveworks/dispatch/tests/test_departing_workers.py
+++ b/chiveworks/dispatch/tests/test_departing_workers.py
@@ -8,7 +8,7 @@
 from chiveworks.dispatch.tests.deployment import InMemoryDeployment, start_leader
 from chiveworks.dispatch.tests.lasting_runner import LASTING, add_lasting_worker
 from chiveworks.metastore import LEASES_KEY
-from chiveworks.metastore._election import LEADER_TTL
+from chiveworks.metastore._candidacy import LEADER_TTL
 from chiveworks.workflow import StepSpec, TaskRef
 
 REF = TaskRef(JobId(LASTING), 0, 0, 0)
--- a/chiveworks/dispatch/tests/test_late_renewals.py
+++ b/chiveworks/dispatch/tests/test_late_renewals.py
@@ -7,7 +7,7 @@
 from chiveworks.base import Failure, JobId, Resources, Step
 from chiveworks.dispatch._scheduler import TICK_INTERVAL
 from chiveworks.dispatch.tests.deployment import QUEUE, start_leader
-from chiveworks.metastore._election import LEADER_TTL
+from chiveworks.metastore._candidacy import LEADER_TTL
 from chiveworks.metastore._term import VALIDITY_MARGIN
 from chiveworks.workflow import JobSpec, JobState, StepSpec, Submission
 
--- a/chiveworks/dispatch/tests/test_regained_workers.py
+++ b/chiveworks/dispatch/tests/test_regained_workers.py
@@ -9,7 +9,7 @@
 from chiveworks.base import Failure, JobId, Resources, Step
 from chiveworks.dispatch.tests.faulty_deployment import FaultyDeployment
 from chiveworks.metastore import LEASES_KEY
-from chiveworks.metastore._election import LEADER_TTL
+from chiveworks.metastore._candidacy import LEADER_TTL
 from chiveworks.workflow import StepSpec, TaskRef
 
 REF = TaskRef(JobId('lasting'), 0, 0, 0)
--- a/chiveworks/events/_event_metrics.py
+++ b/chiveworks/events/_event_metrics.py
@@ -1,5 +1,6 @@
 """Metrics derived from events and from calls to the metadata store."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Final
@@ -49,8 +50,12 @@
         meter = self._provider.get_meter('chiveworks')
         bounds = tuple(map(float, _BOUNDS_MS))
         self._zone = {'zone': zone}
-        self._events = meter.create_counter(
-            'chiveworks_events', description='Decisions by kind and outcome'
+        # An instrument call for each event would be a notable share of the leader's work.
+        self._event_counts: Counter[tuple[str, str]] = Counter()
+        meter.create_observable_counter(
+            'chiveworks_events',
+            [self._observe_events],
+            description='Decisions by kind and outcome',
         )
         self._waits = meter.create_histogram(
             'chiveworks_task_wait',
@@ -90,14 +95,14 @@
     def observe(self, event: str, fields: dict[str, object]) -> None:
         """Counts a logged event and records the durations in its fields."""
         outcome = fields.get('outcome') or fields.get('how') or ''
-        self._events.add(1, {**self._zone, 'event': event, 'outcome': str(outcome)})
-        queue = {**self._zone, 'queue': str(fields.get('queue', ''))}
+        self._event_counts[event, str(outcome)] += 1
         waited_ms, duration_ms = fields.get('waited_ms'), fields.get('duration_ms')
         # Other events that have `waited_ms` are not claims.
         if event == 'task_claimed' and isinstance(waited_ms, int):
-            self._waits.record(waited_ms, queue)
+            self._waits.record(waited_ms, self._queue_labels(fields))
         if isinstance(duration_ms, int):
-            self._durations.record(duration_ms, {**queue, 'outcome': event})
+            labels = {**self._queue_labels(fields), 'outcome': event}
+            self._durations.record(duration_ms, labels)
 
     def record_store_call(
         self, kind: str, duration: timedelta, *, succeeded: bool
@@ -111,6 +116,15 @@
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _queue_labels(self, fields: dict[str, object]) -> dict[str, str]:
+        return {**self._zone, 'queue': str(fields.get('queue', ''))}
+
+    def _observe_events(self, _options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {**self._zone, 'event': event, 'outcome': outcome})
+            for (event, outcome), count in self._event_counts.items()
+        ]
+
     def _observe_queues(self, _options: CallbackOptions) -> list[Observation]:
         return [
             Observation(length, {**self._zone, 'queue': queue})
--- a/chiveworks/metastore/_candidacy.py
+++ b/chiveworks/metastore/_candidacy.py
@@ -13,6 +13,13 @@
 FAST_SHARE: Final = 0.7
 #: How many times as fast as the leader a process must be to take over from it.
 TAKEOVER_FACTOR: Final = 2.0
+#: Time to live of the leader's lease. Bounds the pause in scheduling after the leader is
+#: killed, and is long enough for four failed renewals in a row.
+LEADER_TTL: Final = timedelta(milliseconds=1400)
+#: Processor time below which the lease lasts longer, in inverse proportion, and the
+#: longest lease. A renewal takes a process as much longer as it has less time.
+FULL_SPEED_CORES: Final = 0.25
+MAX_LEADER_TTL: Final = timedelta(seconds=3)
 _MIN_CORES: Final = 0.01
 
 
@@ -41,6 +48,14 @@
             return spread
         return SLOWER_DELAY + spread
 
+    @property
+    def lease_ttl(self) -> timedelta:
+        """Time to live of the lease under which this process leads."""
+        return min(
+            max(LEADER_TTL, LEADER_TTL * (FULL_SPEED_CORES / self.cores)),
+            MAX_LEADER_TTL,
+        )
+
     def outranks(self, leader_cores: float) -> bool:
         """Whether this process is so much faster that a change of leader pays."""
         return self.cores >= TAKEOVER_FACTOR * leader_cores
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -27,9 +27,6 @@
 from chiveworks.metastore._sequence import last_token
 from chiveworks.metastore._term import Term
 
-#: Time to live of the leader's lease. Bounds the pause in scheduling after the leader
-#: is killed, and is long enough for four failed renewals in a row.
-LEADER_TTL: Final = timedelta(milliseconds=1400)
 #: Pause after a failed attempt to become leader, such as during a store outage.
 RETRY_PAUSE: Final = timedelta(milliseconds=60)
 #: Interval between checks for a vacancy.
@@ -214,7 +211,8 @@
         }:
             return None
         started_at = self._clock.monotonic()
-        lease_result = await self._store.grant_lease(LEADER_TTL)
+        ttl = self._candidacy.lease_ttl
+        lease_result = await self._store.grant_lease(ttl)
         if isinstance(lease_result, Err):
             return None
         cores = self._candidacy.cores
@@ -237,7 +235,7 @@
             Epoch(revision),
             last_token(sequence_result.ok_value),
             lease_result.ok_value,
-            LEADER_TTL,
+            ttl,
             started_at,
         )
         self._replaced_leader_value = self._last_leader_value
--- a/chiveworks/metastore/tests/test_leader_speed.py
+++ b/chiveworks/metastore/tests/test_leader_speed.py
@@ -11,7 +11,7 @@
 from chiveworks.base import Epoch, StoreLeaseId, SystemClock
 from chiveworks.dispatch.tests.deployment import RecordingLog
 from chiveworks.metastore import LeaseThread, Term
-from chiveworks.metastore._election import LEADER_TTL
+from chiveworks.metastore._candidacy import LEADER_TTL
 from chiveworks.metastore._term import PROGRESS_LIMIT
 from chiveworks.metastore.tests.test_term import Cluster
 
