Keep a withdrawn entry withdrawn after several listings

An entry that operators had deleted could be in use again: a stale peer's older item was applied if the key had been deleted by one listing and was missing from a later one.

Cause: for a key that is held as deleted, only the revision of its tombstone counted, not that of the later listing from which it was absent too.

--- a/chiveworks/catalogue/_replica.py
+++ b/chiveworks/catalogue/_replica.py
@@ -36,8 +36,9 @@
 
     def __init__(self) -> None:
         self._revision = Revision(0)
-        # Revision of the last complete listing. A key that is not held was absent
-        # from it, so an older item for that key comes from a stale peer.
+        # Revision of the last complete listing. A key that is not held, or only as
+        # deleted, was absent from it, so an older item for that key comes from a
+        # stale peer.
         self._listing_revision = Revision(0)
         self._held: dict[str, ConfigItem] = {}
         self._entries: dict[EntryName, CatalogueEntry] = {}
@@ -148,10 +149,18 @@
         if seen is None or seen >= self._change_count:
             await self._changed.wait()
 
+    def _known_revision(self, key: str) -> Revision:
+        """Returns the revision up to which changes of a key are known."""
+        held = self._held.get(key)
+        if held is None:
+            return self._listing_revision
+        if held.deleted:
+            # The key was absent from a later listing too.
+            return max(held.mod_revision, self._listing_revision)
+        return held.mod_revision
+
     def _store_if_newer(self, change: ConfigItem) -> bool:
-        held = self._held.get(change.key)
-        known = self._listing_revision if held is None else held.mod_revision
-        if change.mod_revision <= known:
+        if change.mod_revision <= self._known_revision(change.key):
             return False
         self._held[change.key] = change
         try:
--- a/chiveworks/catalogue/tests/test_replica.py
+++ b/chiveworks/catalogue/tests/test_replica.py
@@ -146,3 +146,16 @@
     replica.apply([make_item(A, Revision(1))], Revision(1))
     await waiter
     await replica.wait_for_change(seen)
+
+
+def test_a_withdrawn_entry_stays_withdrawn_after_several_listings():
+    """Guards against a deleted entry that a stale peer brings back: the later listings
+    without the entry did not count for it."""
+    replica = CatalogueReplica()
+    replica.apply([make_item('b', 1)], Revision(1))
+    replica.apply_listing([], Revision(3))
+    replica.apply_listing([], Revision(9))
+    assert not replica.apply([make_item('b', 5)], replica.revision)
+    assert replica.entry('b') is None
+    replica.apply([make_item('b', 10)], Revision(10))
+    assert replica.entry('b') is not None
