Choose Retry-After from how long the store has been away

Clients that were refused while the store was away all came back after one second, in step, and those with few attempts used them up before the store was back.

Change: RetryAdvice expects an outage to go on as long as it has lasted, 1 to 4 s, adds up to a half at random and rounds at random.

--- a/chiveworks/intake/__init__.py
+++ b/chiveworks/intake/__init__.py
@@ -6,6 +6,7 @@
     QueueCatalogue,
     QueueRoute,
 )
+from chiveworks.intake._retry_advice import RetryAdvice
 
 __all__ = (
     'IntakeLimits',
@@ -13,4 +14,5 @@
     'JobIntake',
     'QueueCatalogue',
     'QueueRoute',
+    'RetryAdvice',
 )
--- a/chiveworks/platform/_client_api.py
+++ b/chiveworks/platform/_client_api.py
@@ -15,8 +15,7 @@
 
 _MIN_ERROR_STATUS: Final = 400
 _JOB_ID: Final = re.compile('[0-9a-fA-F]{16}')
-#: Value of the Retry-After header, in whole seconds.
-RETRY_AFTER_S: Final = '1'
+_RETRIABLE_STATUSES: Final = frozenset((429, 503))
 
 
 class ClientApi:
@@ -28,6 +27,7 @@
         closing: Returns whether to close each connection after its response.
         clock: Source of time.
         log: Log for requests that fail.
+        retry_after_s: Returns when a refused client should come back, in whole seconds.
     """
 
     def __init__(
@@ -37,8 +37,10 @@
         closing: Callable[[], bool],
         clock: Clock,
         log: EventLog,
+        retry_after_s: Callable[[], int],
     ) -> None:
         self._clock = clock
+        self._retry_after_s = retry_after_s
         self._log = log
         self._intake = intake
         self._catalogue = catalogue
@@ -47,6 +49,8 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Handles one request."""
         response = await self._dispatch(request)
+        if response.status in _RETRIABLE_STATUSES:
+            response.headers['Retry-After'] = str(self._retry_after_s())
         if response.status >= _MIN_ERROR_STATUS:
             self._log_error_response(request, response)
         if self._closing():
@@ -126,10 +130,7 @@
 
 
 def _error_response(status: int, reason: str) -> web.Response:
-    response = web.json_response({'error': reason}, status=status)
-    if status in {429, 503}:
-        response.headers['Retry-After'] = RETRY_AFTER_S
-    return response
+    return web.json_response({'error': reason}, status=status)
 
 
 def _verdict_response(verdict: IntakeVerdict) -> web.Response:
--- a/chiveworks/platform/_metadata_client.py
+++ b/chiveworks/platform/_metadata_client.py
@@ -79,6 +79,13 @@
             self._clock.monotonic() - self._last_success_at < UNAVAILABLE_AFTER_SILENCE
         )
 
+    @property
+    def silence(self) -> timedelta:
+        """Time since the last successful call if later ones have failed, else 0."""
+        if not self._failures:
+            return timedelta()
+        return self._clock.monotonic() - self._last_success_at
+
     async def read(
         self, key: str, *, stale: bool = False
     ) -> Result[StoreItem, Failure]:
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -13,7 +13,7 @@
 from chiveworks.base import SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
-from chiveworks.intake import JobIntake, QueueCatalogue
+from chiveworks.intake import JobIntake, QueueCatalogue, RetryAdvice
 from chiveworks.metastore import Candidacy, Election, LeaseThread, Replica, Term
 from chiveworks.platform._advice_client import HttpAdvisor
 from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
@@ -129,12 +129,14 @@
         intake = JobIntake(
             self._store, self._clock, self._log, lambda: self._store.available
         )
+        retry_advice = RetryAdvice()
         client_api = ClientApi(
             intake,
             lambda: self._catalogue,
             self._stopping.is_set,
             self._clock,
             self._log,
+            lambda: retry_advice.retry_after_s(self._store.silence),
         )
         for handler, address in (
             (client_api.handle, self._settings.front),
--- a/chiveworks/platform/tests/test_odd_bodies.py
+++ b/chiveworks/platform/tests/test_odd_bodies.py
@@ -54,7 +54,7 @@
     store, log = MemoryMetadataStore(clock), RecordingLog(clock)
     catalogue = decode_operator_entry('config', json.dumps(CONFIG).encode())
     intake = JobIntake(store, clock, log)
-    api = ClientApi(intake, lambda: catalogue, lambda: False, clock, log)
+    api = ClientApi(intake, lambda: catalogue, lambda: False, clock, log, lambda: 1)
     runner = web.ServerRunner(web.Server(api.handle))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
