--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -175,6 +175,7 @@
 
     async def close(self) -> None:
         """Cancels all background tasks and closes the clients of workers."""
+        self._log.reduced = False
         try:
             # A child task may have spawned another one before it ended.
             while self._children:
@@ -335,7 +336,9 @@
         self.leases.check(self.fleet.unreached_leases())
 
     def _log_lag(self) -> None:
-        if self._load.lag >= NOTABLE_LAG:
+        """Names a notable lag, and has fewer other lines written meanwhile."""
+        self._log.reduced = self._load.lag >= NOTABLE_LAG
+        if self._log.reduced:
             self._log.write(
                 'scheduler_late',
                 lag_ms=self._load.lag // timedelta(milliseconds=1),
--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -21,6 +21,9 @@
 #: Number of lines per second that each event and queue may write however busy the
 #: other queues are.
 QUIET_QUEUE_LINES: Final = 20
+#: Number of lines per second for each event, or for each event and queue, while the
+#: process is short of time.
+REDUCED_LINES_PER_SECOND: Final = 40
 _SECOND = timedelta(seconds=1)
 
 
@@ -38,6 +41,7 @@
         descriptor: File descriptor to write to; standard output by default.
 
     Attributes:
+        reduced: Whether fewer lines are written, since the process is short of time.
         dropped: Number of lines dropped since the counts were last logged, by event.
     """
 
@@ -47,6 +51,7 @@
         self._clock = clock
         self._descriptor = descriptor
         self._fields = fields
+        self.reduced = False
         self._window_at = timedelta()
         self._counts: Counter[tuple[str, str]] = Counter()
         self._written: Counter[str] = Counter()
@@ -76,7 +81,7 @@
         key = (event, str(fields.get('queue', '')))
         self._counts[key] += 1
         count = self._counts[key]
-        if count > LINES_PER_SECOND:
+        if count > (REDUCED_LINES_PER_SECOND if self.reduced else LINES_PER_SECOND):
             return False
         if count > QUIET_QUEUE_LINES and self._written[event] >= EVENT_LINES_PER_SECOND:
             return False
--- a/chiveworks/events/tests/test_event_log.py
+++ b/chiveworks/events/tests/test_event_log.py
@@ -14,6 +14,7 @@
     EVENT_LINES_PER_SECOND,
     LINES_PER_SECOND,
     QUIET_QUEUE_LINES,
+    REDUCED_LINES_PER_SECOND,
 )
 
 
@@ -111,3 +112,21 @@
     assert sum(counts.values()) == EVENT_LINES_PER_SECOND
     dropped = busy * (LINES_PER_SECOND + 7) + 7 - EVENT_LINES_PER_SECOND
     assert log.dropped == {'run_started': dropped}
+
+
+def test_fewer_lines_are_written_while_the_process_is_short_of_time():
+    """Guards against a leader that falls behind while it writes a line for each run."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = EventLog(clock, {}, writer)
+    log.open()
+    clock.shift(timedelta(seconds=2))
+    log.reduced = True
+    for _ in range(LINES_PER_SECOND):
+        log.write('frequent')
+    log.write('rare')
+    events = Counter(line['event'] for line in read_lines(reader))
+    assert events == {'frequent': REDUCED_LINES_PER_SECOND, 'rare': 1}
+    assert log.dropped['frequent'] == LINES_PER_SECOND - REDUCED_LINES_PER_SECOND
+    os.close(reader)
+    os.close(writer)
