Keep the lease of a leader that waits for the store in its recovery

Found by the tests of recoveries (6 failed): a leader whose listings fail made no progress in the sense of the last commits, so it lost its lease after 4.4 s with another reason than the limit of 5 s. The recovery now counts as progress while the event loop runs, up to its limit.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -143,7 +143,11 @@
     async def _limit_recovery(
         self, term: Term, recovery: 'asyncio.Task[Any] | None'
     ) -> None:
-        await self._clock.sleep(RECOVERY_TIMEOUT)
+        deadline = self._clock.monotonic() + RECOVERY_TIMEOUT
+        while self._clock.monotonic() < deadline:
+            # Only a process whose event loop is not stalled gets here.
+            term.note_progress()
+            await self._clock.sleep(RECOVERY_RETRY_PAUSE)
         # The lease is no longer renewed from here on, even if the recovery is slow to
         # react to its cancellation.
         term.end(f'not recovered within {RECOVERY_TIMEOUT.total_seconds():g} s')
