Take the claims that wait and the periodic checks out of the scheduler

ClaimOutbox holds claims back until they are durable, PeriodicChecks runs the checks of a tick. No change of behaviour; the tests of dispatching, leader failures and unexpected errors pass.

--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -6,10 +6,11 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from chiveworks.base import Clock, JobId, ZoneName, cancel_all
+from chiveworks.base import Clock, ZoneName, cancel_all
 from chiveworks.dispatch._advice import Advisor, TicketCache
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
+from chiveworks.dispatch._claim_outbox import ClaimOutbox
 from chiveworks.dispatch._consolidator import Consolidator
 from chiveworks.dispatch._crash_suspicion import CrashSuspicion
 from chiveworks.dispatch._drainer import Drainer
@@ -23,6 +24,7 @@
 from chiveworks.dispatch._load_meter import LoadMeter
 from chiveworks.dispatch._model_store import ModelStore
 from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._periodic_checks import PeriodicChecks
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.dispatch._run_tracker import RunTracker
@@ -88,7 +90,6 @@
         self._wake = asyncio.Event()
         self._children: set[asyncio.Task[None]] = set()
         self._failure: BaseException | None = None
-        self._unsent_claims: dict[JobId, list[Task]] = {}
         self._stopping_gangs: set[StepRun] = set()
         self._load = LoadMeter()
         self.writer = ProgressWriter(term, clock, self._on_durable)
@@ -124,6 +125,10 @@
         self._assigner = Assigner(
             clock, log, self.table, placer, service_of, self._tickets
         )
+        self._outbox = ClaimOutbox(
+            self.writer,
+            lambda task: self.orders.start(task, self._tickets.ticket(task)),
+        )
         self._stalls = StallDetector(clock, self.fleet.workers, self.orders, health)
         self._drainer = Drainer(
             clock, self.fleet.workers, self.orders, bounds.stop_limit
@@ -141,15 +146,18 @@
             clock, log, self.table, self._assigner.candidates
         )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
-        self._checks = (
-            self._check_due,
-            self._check_leases,
-            self._drainer.check,
-            self._stalls.check,
-            self._consolidator.check,
-            self._starvation_guard.check,
-            self.final_records.remove_old,
-            self._model_store.check,
+        self._checks = PeriodicChecks(
+            log,
+            (
+                self._check_due,
+                self._check_leases,
+                self._drainer.check,
+                self._stalls.check,
+                self._consolidator.check,
+                self._starvation_guard.check,
+                self.final_records.remove_old,
+                self._model_store.check,
+            ),
         )
 
     async def run(self) -> None:
@@ -228,23 +236,10 @@
 
     def _assign(self) -> None:
         for task in self._assigner.assign():
-            job = task.step_run.job
-            job.started = True
-            if job.state is JobState.QUEUED:
-                job.state = JobState.RUNNING
-            self.writer.mark(job)
-            task.claim_version = job.version
-            self._unsent_claims.setdefault(job.job_id, []).append(task)
+            self._outbox.add(task)
 
     def _on_durable(self, job: Job) -> None:
-        claims = self._unsent_claims.pop(job.job_id, [])
-        for task in claims:
-            if task.state is not TaskState.CLAIMED or task.sent:
-                continue
-            if task.claim_version <= job.durable_version:
-                self.orders.start(task, self._tickets.ticket(task))
-            else:
-                self._unsent_claims.setdefault(job.job_id, []).append(task)
+        self._outbox.send(job)
         if job.state.terminal and job.version == job.durable_version:
             if not job.active_tasks():
                 self.table.forget(job)
@@ -311,21 +306,13 @@
             now = self._clock.monotonic()
             self._load.observe(now - slept_at - TICK_INTERVAL)
             self._term.note_progress()
-            for check in self._checks:
-                self._run_check(check)
+            self._checks.run()
             if now - published_at > PENDING_INTERVAL:
                 published_at = now
                 self._log_lag()
                 self._publish_pending()
         self._wake.set()
 
-    def _run_check(self, check: Callable[[], None]) -> None:
-        """Runs a periodic check; an unexpected error in it does not end the others."""
-        try:
-            check()
-        except Exception as error:
-            self._log.write('check_failed', check=check.__qualname__, error=repr(error))
-
     def _check_due(self) -> None:
         if self.table.open_due() or self.table.ready:
             self._wake.set()
--- a/chiveworks/dispatch/tests/test_unexpected_errors.py
+++ b/chiveworks/dispatch/tests/test_unexpected_errors.py
@@ -64,7 +64,8 @@
     def fail():
         raise KeyError('worker')
 
-    scheduler._checks = (fail, *scheduler._checks)
+    checks = scheduler._checks
+    checks._checks = (fail, *checks._checks)
     await deployment.submit('j')
     await deployment.wait(3)
     check_one_term(deployment)
