--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -38,8 +38,7 @@
 TAKEOVER_DELAY: Final = timedelta(milliseconds=300)
 #: Interval between checks whether this process should take over.
 TAKEOVER_INTERVAL: Final = timedelta(milliseconds=500)
-#: Time for which a leader that has made way, or has lost its term under its own work,
-#: leaves the leadership to others.
+#: Time for which a leader that has made way leaves the leadership to others.
 REST: Final = timedelta(seconds=1)
 _HOLDER_NAME: Final = LEADER_KEY.removeprefix(LEADER_PREFIX)
 _SPEED_NAME: Final = SPEED_KEY.removeprefix(LEADER_PREFIX)
