--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -81,7 +81,8 @@
         key = (event, str(fields.get('queue', '')))
         self._counts[key] += 1
         count = self._counts[key]
-        if count > (REDUCED_LINES_PER_SECOND if self.reduced else LINES_PER_SECOND):
+        limit = REDUCED_LINES_PER_SECOND if self.reduced else LINES_PER_SECOND
+        if count > limit:
             return False
         if count > QUIET_QUEUE_LINES and self._written[event] >= EVENT_LINES_PER_SECOND:
             return False
