Keep the lease record of a term valid if later terms end before their first write

Cause: a leader hands over how long the leases of lost workers still run, and the next one trusted the record only if it was that of the term directly before its own. A term that ended during its recovery, which takes up to 2 s on slow instances, had not written one, so the next leader waited for a whole lease of workers that had been gone for long.

Change: the first write of a term is now its lease record, and it follows no worker and extends no lease before. A term without a write has thus extended nothing, and the record of the last term that has written stays true. The sequence key names that term when a new one begins; a process of an earlier version does not name it, and then the record does not count, as before. While the state is being recovered, the stored times are renewed every 250 ms.

Ruled out: trusting any record, since processes of earlier versions extend leases without a record (test_a_leader_of_an_earlier_version_in_between_...).

Evidence: test_a_term_that_ends_during_its_recovery_does_not_extend_the_wait failed in both cases before (no run 9 s after the worker had left) and passes. chiveworks/dispatch, metastore and platform pass. A term still makes one write for it; it comes before the listings, so a new leader needs one call more (about 5 ms) until it schedules.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -129,7 +129,7 @@
         self, term: Term, scheduler: Scheduler
     ) -> list[Coroutine[Any, Any, None]]:
         task = asyncio.current_task()
-        timer = asyncio.create_task(self._limit_recovery(term, task))
+        timer = asyncio.create_task(self._limit_recovery(term, scheduler, task))
         try:
             return await self._recover(term, scheduler)
         except asyncio.CancelledError:
@@ -141,12 +141,16 @@
             timer.cancel()
 
     async def _limit_recovery(
-        self, term: Term, recovery: 'asyncio.Task[Any] | None'
+        self,
+        term: Term,
+        scheduler: Scheduler,
+        recovery: 'asyncio.Task[Any] | None',
     ) -> None:
         deadline = self._clock.monotonic() + RECOVERY_TIMEOUT
         while self._clock.monotonic() < deadline:
             # Only a process whose event loop is not stalled gets here.
             term.note_progress()
+            scheduler.leases.refresh()
             await self._clock.sleep(RECOVERY_RETRY_PAUSE)
         # The lease is no longer renewed from here on, even if the recovery is slow to
         # react to its cancellation.
@@ -216,6 +220,7 @@
             if not isinstance(result, Err):
                 if result.ok_value.content is not None:
                     scheduler.leases.inherit(result.ok_value.content)
+                await scheduler.begin_writing()
                 return
             await self._clock.sleep(RECOVERY_RETRY_PAUSE)
 
--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -27,8 +27,12 @@
     that it cannot reach was extended just before its term. The stored times are relative
     to the write. A leader counts them from its read, so it waits for too long if
     anything, but not for a whole lease. While a worker is in the stored record, its lease
-    is frozen: it must not be extended. Only the record of the preceding term counts,
-    since a term that has not written one may have extended any lease.
+    is frozen: it must not be extended.
+
+    Only the record of the last term that has written counts: a later term may have
+    extended any lease. The first write of a term is therefore its record, and it extends
+    no lease before, so that a term which ends earlier leaves the record of another one
+    valid.
 
     Args:
         term: Leadership term that writes the record.
@@ -52,6 +56,7 @@
         self._writer = writer
         self._lease_limit = lease_limit
         self._inherited: dict[WorkerId, timedelta] = {}
+        self._recovering: dict[WorkerId, timedelta] = {}
         self._leases: WeakValueDictionary[WorkerId, WorkerLease] = WeakValueDictionary()
         # Workers that a stored record may contain, and those in the latest record.
         self._frozen: set[WorkerId] = set()
@@ -73,6 +78,25 @@
             worker_id: now + left for worker_id, left in times_left.items()
         }
         self._frozen.update(self._inherited)
+        self._recovering.update(self._inherited)
+
+    async def confirm(self) -> None:
+        """Stores the inherited record as that of this term, as its first write.
+
+        Raises:
+            TermLostError: The term ended before the record was confirmed.
+        """
+        now = self._clock.monotonic()
+        lost = self._recovering_times(now)
+        self._recorded = set(lost)
+        self._recorded_at = now
+        await self._term.write({LEASES_KEY: encode_leases(self._term.token, lost)})
+
+    def refresh(self) -> None:
+        """Renews the stored times while the state is being recovered."""
+        now = self._clock.monotonic()
+        if self._recovering and now - self._recorded_at >= RECORD_INTERVAL:
+            self._write(self._recovering_times(now), now)
 
     def open(self, worker_id: WorkerId) -> WorkerLease:
         """Returns the lease of a worker that this leader has not extended yet."""
@@ -108,6 +132,12 @@
         if is_due:
             self._write(lost, now)
 
+    def _recovering_times(self, now: timedelta) -> dict[WorkerId, timedelta]:
+        return {
+            worker_id: lapses_at - now
+            for worker_id, lapses_at in self._recovering.items()
+        }
+
     def _write(self, lost: Mapping[WorkerId, timedelta], now: timedelta) -> None:
         self._recorded = set(lost)
         self._recorded_at = now
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -166,7 +166,6 @@
         Raises:
             Exception: Error of the first background task that failed.
         """
-        self.spawn(self._write_progress())
         self.spawn(self._tick())
         self.spawn(self._tickets.run())
         while self._term.valid:
@@ -181,6 +180,12 @@
         if self._failure is not None:
             raise self._failure
 
+    async def begin_writing(self) -> None:
+        """Stores the record of leases, and then all other changes as they occur."""
+        with contextlib.suppress(TermLostError):
+            await self.leases.confirm()
+            self.spawn(self._write_progress())
+
     async def close(self) -> None:
         """Cancels all background tasks and closes the clients of workers."""
         self._log.reduced = False
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -24,7 +24,7 @@
     Transaction,
 )
 from chiveworks.metastore._replica import Replica
-from chiveworks.metastore._sequence import last_token
+from chiveworks.metastore._sequence import encode_acquisition, last_token
 from chiveworks.metastore._term import Term
 
 #: Pause after a failed attempt to become leader, such as during a store outage.
@@ -220,8 +220,12 @@
             LEADER_KEY: holder_result.ok_value.revision,
             SEQUENCE_KEY: sequence_result.ok_value.revision,
         }
+        last_writer = last_token(sequence_result.ok_value)
         revision = await self._acquire_leader_key(
-            leader_value, lease_result.ok_value, expected
+            leader_value,
+            encode_acquisition(last_writer, leader_value),
+            lease_result.ok_value,
+            expected,
         )
         if revision is None:
             await self._store.revoke_lease(lease_result.ok_value)
@@ -232,7 +236,7 @@
             self._log,
             leader_value,
             Epoch(revision),
-            last_token(sequence_result.ok_value),
+            last_writer,
             lease_result.ok_value,
             ttl,
             started_at,
@@ -245,12 +249,16 @@
         return term
 
     async def _acquire_leader_key(
-        self, leader_value: str, lease: StoreLeaseId, expected: dict[str, Revision]
+        self,
+        leader_value: str,
+        sequence_value: bytes,
+        lease: StoreLeaseId,
+        expected: dict[str, Revision],
     ) -> Revision | None:
         content = leader_value.encode()
         transaction = Transaction(
             expected=expected,
-            writes={LEADER_KEY: content, SEQUENCE_KEY: content},
+            writes={LEADER_KEY: content, SEQUENCE_KEY: sequence_value},
             lease=lease,
             leased=frozenset((LEADER_KEY,)),
         )
--- a/chiveworks/metastore/_sequence.py
+++ b/chiveworks/metastore/_sequence.py
@@ -17,13 +17,26 @@
     return packed
 
 
+def encode_acquisition(last_writer: Epoch, leader_value: str) -> bytes:
+    """Encodes the beginning of a term, which takes the sequence key.
+
+    Args:
+        last_writer: Token of the last term that has written.
+        leader_value: Text that is unique to the new term.
+    """
+    packed: bytes = msgpack.packb((last_writer, leader_value))
+    return packed
+
+
 def last_token(item: StoreItem) -> Epoch:
-    """Returns the token of the term that wrote the sequence key last.
+    """Returns the token of the last term that has written; 0 if there was none.
 
-    A term first writes its leader value there; the revision of this write is its token.
+    A term that has only begun does not count, except if a process of an earlier version
+    began it: such a process stores its leader value alone, and may extend leases before
+    its first write.
     """
     try:
-        token, _number = msgpack.unpackb(item.content or b'')
+        token, _write = msgpack.unpackb(item.content or b'')
     except _DECODE_ERRORS:
         return Epoch(item.revision)
     return Epoch(token)
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -47,7 +47,8 @@
         log: Log for the end of the term.
         leader_value: Content of the leader key, unique to the term.
         token: Fencing token; higher than that of all earlier terms.
-        previous_token: Fencing token of the term before this one; 0 if there was none.
+        previous_token: Fencing token of the last term that has written; 0 if there was
+            none.
         lease: Store lease of the leader key.
         ttl: Time to live of the lease after a renewal.
         acquired_at: When the request for the lease was sent.
