Move lasting tasks away from draining workers as soon as another one has room

Cause: runs on a draining worker were stopped 1.7 s before its departure, however early it was announced. If a leader failed in the last seconds, nobody stopped them in time; they ended without a report, and waited for the lease of a worker that was gone.

Change: a lasting task does not end by itself, so waiting gains nothing for it. It now moves once a worker with room is found, which is reserved for it meanwhile; of each step at most as many tasks are away as the step allows, or one. Tasks for which there is no room, and all others, are stopped shortly before the departure as before.

--- /dev/null
+++ b/chiveworks/dispatch/_relocator.py
@@ -0,0 +1,128 @@
+"""Moves lasting tasks away from draining workers while there is time."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._placer import Placer
+from chiveworks.dispatch._worker_view import WorkerView
+from chiveworks.events import EventLog
+from chiveworks.workflow import StepRun, Task, TaskState
+
+#: Interval at which moves are begun and checked.
+CHECK_INTERVAL: Final = timedelta(milliseconds=200)
+#: Maximum number of searches for a worker in one check, which bounds its duration.
+MAX_SEARCHES: Final = 8
+#: Time after which the room that is reserved for a move is given up.
+MOVE_TIMEOUT: Final = timedelta(seconds=4)
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    target: WorkerView
+    began_at: timedelta
+
+
+class Relocator:
+    """Moves lasting tasks to workers with room as soon as their worker is draining.
+
+    Waiting for the departure gains nothing for a task that does not end by itself, and
+    a leader that fails shortly before it could not stop the task in time. Of each step,
+    no more tasks are away at the same time than the step allows, and at least one may
+    be. Tasks for which there is no room yet stay until `Drainer` stops them.
+
+    Args:
+        clock: Source of time.
+        log: Event log for moves.
+        workers: Workers by id.
+        orders: Sends the stops.
+        placer: Chooses the targets.
+        candidates_of: Returns the workers on which tasks of a step may start.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        workers: dict[WorkerId, WorkerView],
+        orders: Orders,
+        placer: Placer,
+        candidates_of: Callable[[StepRun], list[WorkerView]],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._workers = workers
+        self._orders = orders
+        self._placer = placer
+        self._candidates_of = candidates_of
+        self._moves: dict[Task, _Move] = {}
+        self._checked_at = timedelta()
+
+    def check(self) -> None:
+        """Ends completed or overdue moves and begins new ones."""
+        now = self._clock.monotonic()
+        if now - self._checked_at < CHECK_INTERVAL:
+            return
+        self._checked_at = now
+        self._end_moves(now)
+        unsuccessful: set[StepRun] = set()
+        searches = 0
+        for task in self._tasks_on_draining_workers(now):
+            if task.step_run in unsuccessful or not _may_move(task):
+                continue
+            if searches == MAX_SEARCHES:
+                return
+            searches += 1
+            if not self._move(task, now):
+                unsuccessful.add(task.step_run)
+
+    def _end_moves(self, now: timedelta) -> None:
+        for task, move in tuple(self._moves.items()):
+            kept = task.reserved_worker == move.target.worker_id
+            overdue = now - move.began_at > MOVE_TIMEOUT
+            if kept and not overdue and not task.step_run.job.state.terminal:
+                continue
+            self._moves.pop(task)
+            move.target.free_reservation(task)
+            if kept:
+                task.reserved_worker = None
+
+    def _tasks_on_draining_workers(self, now: timedelta) -> list[Task]:
+        """Returns the tasks on draining workers, those of the first to leave first."""
+        draining = [
+            worker
+            for worker in self._workers.values()
+            if worker.live and worker.info.draining
+        ]
+        draining.sort(key=lambda worker: worker.time_to_departure(now) or timedelta())
+        return [task for worker in draining for task in worker.tasks.values()]
+
+    def _move(self, task: Task, now: timedelta) -> bool:
+        target = self._placer.choose(task, self._candidates_of(task.step_run))
+        if target is None:
+            return False
+        self._moves[task] = _Move(target, now)
+        task.reserved_worker = target.worker_id
+        target.reserve(task)
+        self._log.write(
+            'lasting_task_moved',
+            job=task.ref.job_id,
+            task=task.ref[1:],
+            worker=task.worker,
+            target=target.worker_id,
+        )
+        self._orders.stop(task, 'moved from a draining worker')
+        return True
+
+
+def _may_move(task: Task) -> bool:
+    spec, run = task.spec, task.step_run
+    if not spec.long_running or spec.gang or task.state is not TaskState.RUNNING:
+        return False
+    if task.reserved_worker is not None or run.job.state.terminal:
+        return False
+    away = sum(each.state is not TaskState.RUNNING for each in run.tasks)
+    return away < max(spec.unavailable_limit, 1)
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -27,6 +27,7 @@
 from chiveworks.dispatch._periodic_checks import PeriodicChecks
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._progress_writer import ProgressWriter
+from chiveworks.dispatch._relocator import Relocator
 from chiveworks.dispatch._run_tracker import RunTracker
 from chiveworks.dispatch._stall_detector import StallDetector
 from chiveworks.dispatch._starvation_guard import StarvationGuard
@@ -133,6 +134,14 @@
         self._drainer = Drainer(
             clock, self.fleet.workers, self.orders, bounds.stop_limit
         )
+        self._relocator = Relocator(
+            clock,
+            log,
+            self.fleet.workers,
+            self.orders,
+            placer,
+            self._assigner.candidates,
+        )
         self._consolidator = Consolidator(
             clock,
             log,
@@ -152,6 +161,7 @@
                 self._check_due,
                 self._check_leases,
                 self._drainer.check,
+                self._relocator.check,
                 self._stalls.check,
                 self._consolidator.check,
                 self._starvation_guard.check,
