Extend the lease of a recorded worker briefly until the record can be rewritten

If the store refused writes but renewed the leader's lease, the runs lapsed.

Change: a recorded lease is extended by 0.5 s at a time, and a leader that inherits a lease which has not lapsed waits for at least as long (0.66 s with a slow worker clock and the slack). One that had lapsed at the record has no runs and is not waited for, so the wait does not begin anew with each term. An extension never shortens the estimate of an inherited lease.

Both parts of the change are needed: without the least wait, and with an estimate that may shrink, one test of test_lease_handover.py each fails.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -9,7 +9,7 @@
 from chiveworks.base import Clock, WorkerId
 from chiveworks.dispatch._lease_record import decode_leases, encode_leases
 from chiveworks.dispatch._progress_writer import ProgressWriter
-from chiveworks.dispatch._worker_lease import WorkerLease
+from chiveworks.dispatch._worker_lease import BRIEF_LAPSE, WorkerLease
 from chiveworks.events import EventLog
 from chiveworks.metastore import LEASES_KEY, Term
 
@@ -27,7 +27,9 @@
     that it cannot reach was extended just before its term. The stored times are relative
     to the write. A leader counts them from its read, so it waits for too long if
     anything, but not for a whole lease. While a worker is in the stored record, its lease
-    is frozen: it must not be extended.
+    is frozen: it is extended only briefly, and a leader that inherits a lease which has
+    not lapsed waits for at least as long. The runs of a worker that responds again thus
+    go on although the store refuses the record without it.
 
     Only the record of the last term that has written counts: a later term may have
     extended any lease. The first write of a term is therefore its record, and it extends
@@ -75,7 +77,8 @@
             self._log.write('leases_outdated', token=token)
             return
         self._inherited = {
-            worker_id: now + left for worker_id, left in times_left.items()
+            worker_id: now + _time_to_wait(left)
+            for worker_id, left in times_left.items()
         }
         self._frozen.update(self._inherited)
         self._recovering.update(self._inherited)
@@ -163,3 +166,9 @@
         lease = self._leases.get(worker_id)
         if lease is not None:
             lease.frozen = frozen
+
+
+def _time_to_wait(left: timedelta) -> timedelta:
+    """Returns the time until a lease with the given time left has certainly lapsed."""
+    # After the record, the earlier leader may have extended the lease briefly.
+    return max(left, BRIEF_LAPSE) if left else left
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -7,6 +7,10 @@
 CLOCK_DRIFT: Final = 0.02
 #: Covers rounding to milliseconds and the delay of the worker's timer.
 LAPSE_SLACK: Final = timedelta(milliseconds=150)
+#: Length of the extensions of a lease while it is frozen, and the time after which a
+#: lease that was extended like this has certainly lapsed.
+BRIEF_EXTENSION: Final = timedelta(milliseconds=500)
+BRIEF_LAPSE: Final = BRIEF_EXTENSION / (1 - CLOCK_DRIFT) + LAPSE_SLACK
 
 
 class WorkerLease:
@@ -20,7 +24,7 @@
             a whole lease after `now`.
 
     Attributes:
-        frozen: Whether the lease must not be extended.
+        frozen: Whether the lease must not be extended but briefly.
         lost_at: When contact with the worker was last lost, or could not be made; None
             if that never happened.
     """
@@ -45,7 +49,7 @@
 
     @property
     def extendable(self) -> bool:
-        """Whether the lease can be extended."""
+        """Whether the lease can be extended in full."""
         return self.known and not self.frozen
 
     @property
@@ -79,14 +83,27 @@
 
     def extend(self, now: timedelta) -> timedelta | None:
         """Returns the lease end to send at `now`; None if it cannot be extended."""
-        if self._clock is None or self.frozen:
+        if self.frozen:
             return None
-        end = self._clock + (now - self._observed_at) + self._limit
-        self._highest_end = max(self._highest_end, end)
-        left = self._highest_end - self._clock
-        self._lapses_at = self._observed_at + left / (1 - CLOCK_DRIFT) + LAPSE_SLACK
-        return end
+        return self._extend(self._limit, now)
+
+    def extend_briefly(self, now: timedelta) -> timedelta | None:
+        """Returns the end to send at `now` for a lease that may be frozen.
+
+        Every leader that inherits the lease waits for at least `BRIEF_LAPSE`.
+        """
+        return self._extend(BRIEF_EXTENSION, now)
 
     def lapsed(self, now: timedelta) -> bool:
         """Whether the lease has certainly lapsed, so that all runs have ended."""
         return now >= self._lapses_at
+
+    def _extend(self, length: timedelta, now: timedelta) -> timedelta | None:
+        if self._clock is None:
+            return None
+        end = self._clock + (now - self._observed_at) + length
+        self._highest_end = max(self._highest_end, end)
+        left = self._highest_end - self._clock
+        lapses_at = self._observed_at + left / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+        self._lapses_at = max(self._lapses_at, lapses_at)
+        return end
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -102,7 +102,7 @@
         # A poll without a response may still have extended the lease. A silent worker
         # is therefore polled without extending its lease, so that the lease lapses.
         extends = worker.live and self._term.valid
-        lease_end = worker.lease.extend(polled_at) if extends else None
+        lease_end = self._extend_lease(polled_at) if extends else None
         result = await worker.control.poll(
             self._term.token, worker.acknowledge(), lease_end, wait
         )
@@ -118,6 +118,10 @@
         self._apply_report(result.ok_value, polled_at)
         return True
 
+    def _extend_lease(self, now: timedelta) -> timedelta | None:
+        lease = self._worker.lease
+        return lease.extend_briefly(now) if lease.frozen else lease.extend(now)
+
     def _apply_report(self, report: WorkerReport, polled_at: timedelta) -> None:
         worker = self._worker
         now = self._clock.monotonic()
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -7,6 +7,7 @@
 from chiveworks.base import Epoch, ManualClock, WorkerId
 from chiveworks.dispatch._lease_handover import RECORD_AFTER, LeaseHandover
 from chiveworks.dispatch._lease_record import decode_leases, encode_leases
+from chiveworks.dispatch._worker_lease import BRIEF_EXTENSION, CLOCK_DRIFT
 from chiveworks.events import EventLog
 from chiveworks.metastore import Term
 from standins.runners import LEASE_LIMIT
@@ -145,3 +146,28 @@
         record, _ = leader.writer.puts.pop(0)
         left = leader.lease.time_left(leader.clock.monotonic())
         assert left <= record[WORKER] < left + timedelta(milliseconds=1)
+
+
+def test_a_brief_extension_before_a_change_of_the_leader_is_waited_for():
+    """Guards against a second run beside the first: the earlier leader extended a frozen
+    lease briefly, after the record whose time left is shorter."""
+    leader = _Leader({WORKER: timedelta(milliseconds=10)})
+    now = leader.clock.monotonic()
+    assert not leader.lease.lapsed(now + BRIEF_EXTENSION / (1 - CLOCK_DRIFT))
+
+
+def test_a_lease_that_lapsed_before_a_change_of_the_leader_is_not_waited_for():
+    """Guards against a wait that begins anew with each leader: a frozen lease that has
+    lapsed has no runs, so a brief extension of it changes nothing."""
+    leader = _Leader({WORKER: timedelta()})
+    assert leader.lease.lapsed(leader.clock.monotonic())
+
+
+def test_a_brief_extension_does_not_shorten_a_lease():
+    """Guards against a second run beside the first: a lease that an earlier leader had
+    extended for longer counted as lapsed after a brief extension."""
+    leader = _Leader({WORKER: LEFT})
+    now = leader.clock.monotonic()
+    leader.reach()
+    assert leader.lease.extend_briefly(now) is not None
+    assert leader.lease.time_left(now) >= LEFT
