Move lasting tasks 3.7 s before a departure instead of at its announcement

Moving them at the announcement takes room from other tasks for seconds in which that on the draining worker cannot be used. 3.7 s are what is needed: a stop and its report (1.7 s), and the time in which another process takes over from a leader that fails (2 s).

--- a/chiveworks/dispatch/_relocator.py
+++ b/chiveworks/dispatch/_relocator.py
@@ -1,11 +1,13 @@
-"""Moves lasting tasks away from draining workers while there is time."""
+"""Moves lasting tasks away from workers that are about to leave."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from operator import itemgetter
 from typing import Final
 
 from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._drainer import STOP_MARGIN
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._worker_view import WorkerView
@@ -16,6 +18,9 @@
 CHECK_INTERVAL: Final = timedelta(milliseconds=200)
 #: Maximum number of searches for a worker in one check, which bounds its duration.
 MAX_SEARCHES: Final = 8
+#: Time in which another process takes over from a leader that fails: its lease ends, and
+#: the state is recovered.
+TAKEOVER_TIME: Final = timedelta(seconds=2)
 #: Time after which the room that is reserved for a move is given up.
 MOVE_TIMEOUT: Final = timedelta(seconds=4)
 
@@ -27,12 +32,12 @@
 
 
 class Relocator:
-    """Moves lasting tasks to workers with room as soon as their worker is draining.
+    """Moves lasting tasks to workers with room before their worker leaves.
 
-    Waiting for the departure gains nothing for a task that does not end by itself, and
-    a leader that fails shortly before it could not stop the task in time. Of each step,
-    no more tasks are away at the same time than the step allows, and at least one may
-    be. Tasks for which there is no room yet stay until `Drainer` stops them.
+    They move so early that another process can still stop them if this leader fails. An
+    even earlier move would take room from other tasks while that on the worker cannot be
+    used. Of each step, no more tasks are away at the same time than the step allows, and
+    at least one may be. Tasks for which there is no room stay until `Drainer` stops them.
 
     Args:
         clock: Source of time.
@@ -41,6 +46,7 @@
         orders: Sends the stops.
         placer: Chooses the targets.
         candidates_of: Returns the workers on which tasks of a step may start.
+        stop_limit: Longest time that a worker takes for a stop.
     """
 
     def __init__(
@@ -51,6 +57,7 @@
         orders: Orders,
         placer: Placer,
         candidates_of: Callable[[StepRun], list[WorkerView]],
+        stop_limit: timedelta,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -58,6 +65,7 @@
         self._orders = orders
         self._placer = placer
         self._candidates_of = candidates_of
+        self._lead = stop_limit + STOP_MARGIN + TAKEOVER_TIME
         self._moves: dict[Task, _Move] = {}
         self._checked_at = timedelta()
 
@@ -70,7 +78,7 @@
         self._end_moves(now)
         unsuccessful: set[StepRun] = set()
         searches = 0
-        for task in self._tasks_on_draining_workers(now):
+        for task in self._tasks_on_leaving_workers(now):
             if task.step_run in unsuccessful or not _may_move(task):
                 continue
             if searches == MAX_SEARCHES:
@@ -90,15 +98,17 @@
             if kept:
                 task.reserved_worker = None
 
-    def _tasks_on_draining_workers(self, now: timedelta) -> list[Task]:
-        """Returns the tasks on draining workers, those of the first to leave first."""
-        draining = [
-            worker
-            for worker in self._workers.values()
-            if worker.live and worker.info.draining
-        ]
-        draining.sort(key=lambda worker: worker.time_to_departure(now) or timedelta())
-        return [task for worker in draining for task in worker.tasks.values()]
+    def _tasks_on_leaving_workers(self, now: timedelta) -> list[Task]:
+        """Returns the tasks on workers that leave soon, the most urgent ones first."""
+        leaving = []
+        for worker in self._workers.values():
+            if worker.live and worker.info.draining:
+                # A worker that does not say when it leaves may do so at any time.
+                left = worker.time_to_departure(now) or timedelta()
+                if left <= self._lead:
+                    leaving.append((left, worker))
+        leaving.sort(key=itemgetter(0))
+        return [task for _, each in leaving for task in each.tasks.values()]
 
     def _move(self, task: Task, now: timedelta) -> bool:
         target = self._placer.choose(task, self._candidates_of(task.step_run))
@@ -114,7 +124,7 @@
             worker=task.worker,
             target=target.worker_id,
         )
-        self._orders.stop(task, 'moved from a draining worker')
+        self._orders.stop(task, 'moved from a worker that leaves')
         return True
 
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -141,6 +141,7 @@
             self.orders,
             placer,
             self._assigner.candidates,
+            bounds.stop_limit,
         )
         self._consolidator = Consolidator(
             clock,
--- a/chiveworks/dispatch/tests/faulty_links.py
+++ b/chiveworks/dispatch/tests/faulty_links.py
@@ -23,11 +23,13 @@
 
     Attributes:
         refused_until: Until when all calls are refused.
+        read_only_until: Until when transactions are refused, but no other calls.
         lossy_until: Until when writes get no responses.
     """
 
     def __init__(self, store, clock, rng, spawn):
         self.refused_until = timedelta()
+        self.read_only_until = timedelta()
         self.lossy_until = timedelta()
         self._store = store
         self._clock = clock
@@ -56,8 +58,8 @@
 
     async def commit(self, transaction):
         """Applies a transaction, now or later, or refuses it."""
-        if self._refusal():
-            return self._refusal()
+        if self._clock.monotonic() < max(self.refused_until, self.read_only_until):
+            return _refused()
         if self._clock.monotonic() >= self.lossy_until:
             return await self._store.commit(transaction)
         fate = self._rng.choice(('lost', 'applied', 'late'))
@@ -89,9 +91,7 @@
         await self._store.commit(transaction)
 
     def _refusal(self):
-        if self._clock.monotonic() < self.refused_until:
-            return Err(Failure.not_run(Step.STORE_WRITE, 'store', 'refused'))
-        return None
+        return _refused() if self._clock.monotonic() < self.refused_until else None
 
 
 class WorkerLink:
@@ -170,3 +170,7 @@
 
 def _no_response():
     return Err(Failure.unknown(Step.RENEW, 'peer', 'no response'))
+
+
+def _refused():
+    return Err(Failure.not_run(Step.STORE_WRITE, 'store', 'refused'))
