Refuse jobs that no worker of the queue's service can run

Cause: on the platform path a job was refused only while the store was away. Nothing compared it with the workers.

Weighed: accepting such a job and showing it as failed. The protocol shows "failed" when a task has failed max_attempts times, and the rule LOST forbids it where nothing has run. So the job is refused with 503, which means that it never runs; the body and the log give the step and the reason, and Retry-After is 120 s.

Change: the leader publishes the shapes of the workers by service (chiveworks.capacity) in the transaction of the counts, when they change. The record is under the prefix of the leader, which all processes watch, so there is no further watch and no read per request; the key of the counts is read only when a client asks for a count. Without a leader, for 5 s after a change of leader, with a record of another term or form, after 2.5 s without contact or for an unknown service nothing is refused. Workers count for 120 s after they were listed last, across leaders. Before a refusal the key of the job is read, so that a repeated submission of an accepted job is answered as accepted.

Without the publishing, 10 of the 12 tests of test_published_capacity.py fail; without the read of the key and the comparison of the term, 5 tests of test_unservable_jobs.py. A hypothesis test compares 400 drawn fleets and steps with a model that places the tasks one at a time.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -173,6 +173,8 @@
             self._load_model(scheduler, learned.ok_value.content)
         workers = self._follow_workers()
         workers.subscribe(scheduler.fleet.update)
+        scheduler.capacity.inherit(self._election.capacity)
+        scheduler.capacity.follow(lambda: workers.last_success_at)
         jobs: Replica[_Record] = Replica(
             self._store, JOB_PREFIX, _decode_record, self._clock, self._log
         )
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -10,6 +10,7 @@
 from chiveworks.dispatch._advice import Advisor, TicketCache
 from chiveworks.dispatch._assigner import Assigner
 from chiveworks.dispatch._bounds import SchedulingBounds
+from chiveworks.dispatch._capacity_publisher import CapacityPublisher
 from chiveworks.dispatch._claim_outbox import ClaimOutbox
 from chiveworks.dispatch._consolidator import Consolidator
 from chiveworks.dispatch._crash_suspicion import CrashSuspicion
@@ -102,6 +103,9 @@
         self.orders = Orders(
             term, clock, log, self.fleet.workers, self._on_released, self.spawn
         )
+        self.capacity = CapacityPublisher(
+            term.leader_value, clock, log, self.writer, self.fleet.workers
+        )
         self.table = JobTable(
             clock, log, self.writer, self.orders.stop, bounds.early_limit
         )
@@ -340,4 +344,5 @@
     def _publish_pending(self) -> None:
         counts = encode_counts(dict(self.table.pending()), self._clock.now())
         self.writer.put(PENDING_KEY, counts)
+        self.capacity.publish()
         self.handover.record(self.table.jobs.values(), self.fleet.workers)
--- a/chiveworks/intake/__init__.py
+++ b/chiveworks/intake/__init__.py
@@ -1,5 +1,7 @@
 """Client requests to submit, cancel and query jobs."""
 
+from chiveworks.intake._capacity_check import CapacityCheck
+from chiveworks.intake._capacity_follower import CapacityFollower
 from chiveworks.intake._job_intake import IntakeVerdict, JobIntake
 from chiveworks.intake._queue_catalogue import (
     IntakeLimits,
@@ -7,12 +9,16 @@
     QueueRoute,
 )
 from chiveworks.intake._retry_advice import RetryAdvice
+from chiveworks.intake._unservable_job import UnservableJob
 
 __all__ = (
+    'CapacityCheck',
+    'CapacityFollower',
     'IntakeLimits',
     'IntakeVerdict',
     'JobIntake',
     'QueueCatalogue',
     'QueueRoute',
     'RetryAdvice',
+    'UnservableJob',
 )
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -10,6 +10,7 @@
 
 from chiveworks.base import Clock, JobId, Revision, Verdict
 from chiveworks.events import EventLog
+from chiveworks.intake._unservable_job import UnservableJob
 from chiveworks.metastore import (
     PENDING_KEY,
     Committed,
@@ -63,6 +64,10 @@
     return True
 
 
+def _never_refused(_submission: Submission) -> str:
+    return ''
+
+
 class JobIntake:
     """Handles client requests by reading and writing the metadata store.
 
@@ -71,6 +76,7 @@
         clock: Source of time.
         log: Log for the outcome of each request.
         available: Returns whether the store is likely to respond.
+        refusal_reason: Returns why no worker can ever run a job; empty if one may.
     """
 
     def __init__(
@@ -79,31 +85,29 @@
         clock: Clock,
         log: EventLog,
         available: Callable[[], bool] = _always_available,
+        refusal_reason: Callable[[Submission], str] = _never_refused,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._available = available
+        self._refusal_reason = refusal_reason
         self._counts: dict[str, int] = {}
         self._counted_at: timedelta | None = None
 
-    async def submit(self, submission: Submission) -> IntakeVerdict:
-        """Stores a job; idempotent, as a repeated submission has the same job id."""
-        key = job_key(submission.job_id)
-        transaction = Transaction(
-            expected={key: Revision(0)}, writes={key: encode_submission(submission)}
-        )
-        if self._available():
-            verdict = await self._write(transaction)
+    async def submit(self, submission: Submission) -> IntakeVerdict | UnservableJob:
+        """Stores a job; idempotent, as a repeated submission has the same job id.
+
+        A job that no worker can run is not stored. One that has been accepted stays so.
+        """
+        outcome = await self._accept_or_refuse(submission)
+        fields = {'job': submission.job_id, 'queue': submission.queue.name}
+        if isinstance(outcome, UnservableJob):
+            fields.update(outcome='unservable', reason=outcome.reason)
         else:
-            verdict = IntakeVerdict.REFUSED
-        self._log.write(
-            'job_submitted',
-            job=submission.job_id,
-            queue=submission.queue.name,
-            outcome=verdict.value,
-        )
-        return verdict
+            fields.update(outcome=outcome.value)
+        self._log.write('job_submitted', **fields)
+        return outcome
 
     async def cancel(self, job_id: JobId) -> IntakeVerdict:
         """Records the cancellation of a job in the store."""
@@ -152,6 +156,23 @@
             self._counted_at = now
         return self._counts.get(queue, 0)
 
+    async def _accept_or_refuse(
+        self, submission: Submission
+    ) -> IntakeVerdict | UnservableJob:
+        if not self._available():
+            return IntakeVerdict.REFUSED
+        key = job_key(submission.job_id)
+        reason = self._refusal_reason(submission)
+        if reason and await self._is_absent(key):
+            return UnservableJob(reason)
+        content = encode_submission(submission)
+        return await self._write(Transaction({key: Revision(0)}, {key: content}))
+
+    async def _is_absent(self, key: str) -> bool:
+        """Tells whether a key is certainly not in the store."""
+        stored = await self._store.read(key)
+        return not isinstance(stored, Err) and stored.ok_value.content is None
+
     def _decode_counts(self, item: StoreItem) -> dict[str, int] | None:
         if item.content is None:
             return {}
--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -3,8 +3,11 @@
 from chiveworks.metastore._candidacy import Candidacy
 from chiveworks.metastore._election import Election
 from chiveworks.metastore._keys import (
+    CAPACITY_KEY,
     HANDOVER_KEY,
     JOB_PREFIX,
+    LEADER_KEY,
+    LEADER_PREFIX,
     LEASES_KEY,
     PENDING_KEY,
     PRESSURE_KEY,
@@ -26,8 +29,11 @@
 from chiveworks.metastore._term import Term, TermLostError
 
 __all__ = (
+    'CAPACITY_KEY',
     'HANDOVER_KEY',
     'JOB_PREFIX',
+    'LEADER_KEY',
+    'LEADER_PREFIX',
     'LEASES_KEY',
     'PENDING_KEY',
     'PRESSURE_KEY',
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -12,6 +12,7 @@
 from chiveworks.events import EventLog
 from chiveworks.metastore._candidacy import Candidacy
 from chiveworks.metastore._keys import (
+    CAPACITY_KEY,
     CHALLENGE_KEY,
     LEADER_KEY,
     LEADER_PREFIX,
@@ -42,6 +43,7 @@
 REST: Final = timedelta(seconds=1)
 _HOLDER_NAME: Final = LEADER_KEY.removeprefix(LEADER_PREFIX)
 _SPEED_NAME: Final = SPEED_KEY.removeprefix(LEADER_PREFIX)
+_CAPACITY_NAME: Final = CAPACITY_KEY.removeprefix(LEADER_PREFIX)
 _CHALLENGE_NAME: Final = CHALLENGE_KEY.removeprefix(LEADER_PREFIX)
 
 
@@ -56,8 +58,8 @@
         candidacy: Order in which processes contend.
 
     Attributes:
-        leader: Replica of the leader key, the speed of the fastest process and the
-            latest challenge of a leader.
+        leader: Replica of the leader key, the speed of the fastest process, the
+            latest challenge of a leader and the shapes of the workers.
     """
 
     def __init__(
@@ -93,6 +95,11 @@
             holder_value is None or holder_value == self._last_leader_value
         )
 
+    @property
+    def capacity(self) -> str | None:
+        """Latest record of the workers' shapes, of any term; None if there is none."""
+        return self.leader.entries.get(_CAPACITY_NAME)
+
     def pause_candidacy(self, duration: timedelta) -> None:
         """Prevents this process from contending for the given time."""
         self._candidacy_paused_until = self._clock.monotonic() + duration
--- a/chiveworks/metastore/_keys.py
+++ b/chiveworks/metastore/_keys.py
@@ -11,6 +11,9 @@
 SPEED_KEY: Final = 'chiveworks/leader/speed'
 #: Value of the leader key of the term that a faster process asks to end.
 CHALLENGE_KEY: Final = 'chiveworks/leader/challenge'
+#: Shapes of the workers as the leader has seen them. It is under the prefix that all
+#: processes watch for the election.
+CAPACITY_KEY: Final = 'chiveworks/leader/capacity'
 #: Written by every transaction of the leader, each of which expects the revision
 #: written by the one before it.
 SEQUENCE_KEY: Final = 'chiveworks/sequence'
--- a/chiveworks/platform/_client_api.py
+++ b/chiveworks/platform/_client_api.py
@@ -9,12 +9,21 @@
 
 from chiveworks.base import Clock, JobId
 from chiveworks.events import EventLog
-from chiveworks.intake import IntakeVerdict, JobIntake, QueueCatalogue, QueueRoute
+from chiveworks.intake import (
+    IntakeVerdict,
+    JobIntake,
+    QueueCatalogue,
+    QueueRoute,
+    UnservableJob,
+)
 from chiveworks.platform._decoding import decode_job
 from chiveworks.workflow import JobState, Submission
 
 _MIN_ERROR_STATUS: Final = 400
 _JOB_ID: Final = re.compile('[0-9a-fA-F]{16}')
+#: Time after which the client of a job that no worker can run should come back at the
+#: earliest. Larger workers are added by operators, which takes minutes.
+UNSERVABLE_RETRY_S: Final = 120
 _RETRIABLE_STATUSES: Final = frozenset((429, 503))
 
 
@@ -50,7 +59,7 @@
         """Handles one request."""
         response = await self._dispatch(request)
         if response.status in _RETRIABLE_STATUSES:
-            response.headers['Retry-After'] = str(self._retry_after_s())
+            response.headers.setdefault('Retry-After', str(self._retry_after_s()))
         if response.status >= _MIN_ERROR_STATUS:
             self._log_error_response(request, response)
         if self._closing():
@@ -101,7 +110,10 @@
         submission = Submission(
             job_id, route.policy, spec, accepted_at=self._clock.now()
         )
-        return _verdict_response(await self._intake.submit(submission))
+        outcome = await self._intake.submit(submission)
+        if isinstance(outcome, UnservableJob):
+            return _unservable_response(outcome)
+        return _verdict_response(outcome)
 
     async def _cancel(self, job_id: JobId) -> web.Response:
         return _verdict_response(await self._intake.cancel(job_id))
@@ -133,6 +145,13 @@
     return web.json_response({'error': reason}, status=status)
 
 
+def _unservable_response(outcome: UnservableJob) -> web.Response:
+    # The protocol has no other status for a job that is not accepted and never runs.
+    response = _error_response(503, f'not run: {outcome.reason}')
+    response.headers['Retry-After'] = str(UNSERVABLE_RETRY_S)
+    return response
+
+
 def _verdict_response(verdict: IntakeVerdict) -> web.Response:
     if verdict is IntakeVerdict.ACCEPTED:
         return _json_response({})
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -13,7 +13,13 @@
 from chiveworks.base import SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
-from chiveworks.intake import JobIntake, QueueCatalogue, RetryAdvice
+from chiveworks.intake import (
+    CapacityCheck,
+    CapacityFollower,
+    JobIntake,
+    QueueCatalogue,
+    RetryAdvice,
+)
 from chiveworks.metastore import Candidacy, Election, LeaseThread, Replica, Term
 from chiveworks.platform._advice_client import HttpAdvisor
 from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
@@ -26,7 +32,7 @@
 )
 from chiveworks.platform._metadata_client import HttpMetadataStore
 from chiveworks.platform._worker_client import HttpWorker
-from chiveworks.workflow import Job
+from chiveworks.workflow import Job, Submission
 
 #: Port on which metrics are served; must match the deploy file.
 METRICS_PORT: Final = 9464
@@ -79,6 +85,9 @@
             settings.process,
             Candidacy(settings.cores),
         )
+        self._capacity_check = CapacityCheck(self._clock, self._complete_since)
+        capacity = CapacityFollower(self._capacity_check, self._log)
+        self._election.leader.subscribe(capacity.update)
         self._leader = Leader(
             self._store,
             self._clock,
@@ -127,7 +136,11 @@
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         intake = JobIntake(
-            self._store, self._clock, self._log, lambda: self._store.available
+            self._store,
+            self._clock,
+            self._log,
+            lambda: self._store.available,
+            self._refusal_reason,
         )
         retry_advice = RetryAdvice()
         client_api = ClientApi(
@@ -230,6 +243,14 @@
             watch_pause=WORKERS_WATCH_PAUSE,
         )
 
+    def _complete_since(self) -> timedelta:
+        replicas = (self._operator_entries, self._election.leader)
+        return min(replica.last_success_at for replica in replicas)
+
+    def _refusal_reason(self, submission: Submission) -> str:
+        service = submission.queue.service
+        return self._capacity_check.refusal_reason(submission.spec, service)
+
     def _service_of(self, job: Job) -> str:
         policy = self._catalogue and self._catalogue.policy(job.queue.name)
         return policy.service if policy else job.queue.service
