Publish rounded numbers of workers, so that the record rarely changes

The record of the workers' shapes is under the prefix that every process watches, so each new worker of a rolling replacement would have cost a call of each process. Counts, which only matter for gangs, are rounded up to powers of two; a gang that needs up to twice the workers is then accepted, as any doubt is decided for the job.

--- a/chiveworks/capacity/_service_capacity.py
+++ b/chiveworks/capacity/_service_capacity.py
@@ -52,6 +52,18 @@
             return ServiceCapacity({largest: merged.total()})
         return ServiceCapacity(merged)
 
+    def rounded(self) -> 'ServiceCapacity':
+        """Returns the counts rounded up to powers of two, which rarely change.
+
+        Jobs that need up to twice the workers are then not refused.
+        """
+        return ServiceCapacity(
+            {
+                shape: 1 << (count - 1).bit_length()
+                for shape, count in self.counts.items()
+            }
+        )
+
     def without_labels(self) -> 'ServiceCapacity':
         """Returns the same workers with unknown labels."""
         counts: Counter[WorkerShape] = Counter()
--- a/chiveworks/capacity/tests/test_service_capacity.py
+++ b/chiveworks/capacity/tests/test_service_capacity.py
@@ -146,3 +146,14 @@
     """Guards against a decision by a record of another form."""
     with pytest.raises(ValueError):
         decode_capacity(stored)
+
+
+def test_rounded_counts_are_never_lower_and_rarely_change():
+    """Guards against a record that every process reads again with each new worker."""
+    shape = WorkerShape(Resources(1, 1))
+    rounded = [
+        ServiceCapacity({shape: count}).rounded().counts[shape]
+        for count in range(1, 300)
+    ]
+    assert all(each >= count for count, each in enumerate(rounded, 1))
+    assert len(set(rounded)) < 11
--- a/chiveworks/dispatch/_capacity_publisher.py
+++ b/chiveworks/dispatch/_capacity_publisher.py
@@ -84,7 +84,10 @@
             self._began_at = now
         if now - self._began_at < SETTLE:
             return
-        services = self._history.services() if self._list_is_current(now) else {}
+        services = {}
+        if self._list_is_current(now):
+            known = self._history.services()
+            services = {name: each.rounded() for name, each in known.items()}
         record = CapacityRecord(self._leader_value, services)
         encoded = record.encode()
         if encoded != self._stored:
