--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/mypy chiveworks standins
 
 test: lint ## run all checks and tests
-	$(BIN)/python tests/run_suite.py
+	$(BIN)/python -m tests.run_suite
 
 demo: $(READY) ## run the demo with real processes (under a minute)
 	$(BIN)/python -m examples.demo
