Record brief extensions that are made during a recovery

Found by review, before any user saw it: a task could run twice. A new leader that reached a worker while it still listed the workers extended its inherited lease by 0.5 s at a time, but the record that it renews during the recovery counted down the inherited time only. After its death the next leader read 0 ms and started the task at once, beside the first run.

The record now takes the time from the lease once that is open. Two tests of test_lease_handover.py go through the record now, with the same bounds; test_a_record_during_the_recovery_knows_brief_extensions failed before.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -27,9 +27,9 @@
     that it cannot reach was extended just before its term. The stored times are relative
     to the write. A leader counts them from its read, so it waits for too long if
     anything, but not for a whole lease. While a worker is in the stored record, its lease
-    is frozen: it is extended only briefly, and a leader that inherits a lease which has
-    not lapsed waits for at least as long. The runs of a worker that responds again thus
-    go on although the store refuses the record without it.
+    is frozen: it is extended only briefly, and if it has not lapsed, the record gives at
+    least the time that such an extension takes. The runs of a worker that responds again
+    thus go on although the store refuses the record without it.
 
     Only the record of the last term that has written counts: a later term may have
     extended any lease. The first write of a term is therefore its record, and it extends
@@ -77,8 +77,7 @@
             self._log.write('leases_outdated', token=token)
             return
         self._inherited = {
-            worker_id: now + _time_to_wait(left)
-            for worker_id, left in times_left.items()
+            worker_id: now + left for worker_id, left in times_left.items()
         }
         self._frozen.update(self._inherited)
         self._recovering.update(self._inherited)
@@ -93,7 +92,7 @@
         lost = self._recovering_times(now)
         self._recorded = set(lost)
         self._recorded_at = now
-        await self._term.write({LEASES_KEY: encode_leases(self._term.token, lost)})
+        await self._term.write({LEASES_KEY: self._encode(lost)})
 
     def refresh(self) -> None:
         """Renews the stored times while the state is being recovered."""
@@ -136,11 +135,21 @@
             self._write(lost, now)
 
     def _recovering_times(self, now: timedelta) -> dict[WorkerId, timedelta]:
+        # Workers that have been reached may have been extended briefly since.
+        opened = {
+            worker_id: self._leases.get(worker_id) for worker_id in self._recovering
+        }
         return {
-            worker_id: lapses_at - now
-            for worker_id, lapses_at in self._recovering.items()
+            worker_id: lease.time_left(now)
+            if lease
+            else self._recovering[worker_id] - now
+            for worker_id, lease in opened.items()
         }
 
+    def _encode(self, lost: Mapping[WorkerId, timedelta]) -> bytes:
+        times = {worker_id: _time_to_record(left) for worker_id, left in lost.items()}
+        return encode_leases(self._term.token, times)
+
     def _write(self, lost: Mapping[WorkerId, timedelta], now: timedelta) -> None:
         self._recorded = set(lost)
         self._recorded_at = now
@@ -148,7 +157,7 @@
             self._set_frozen(worker_id, frozen=True)
         self._writer.put(
             LEASES_KEY,
-            encode_leases(self._term.token, lost),
+            self._encode(lost),
             partial(self._on_stored, frozenset(lost)),
         )
 
@@ -168,7 +177,9 @@
             lease.frozen = frozen
 
 
-def _time_to_wait(left: timedelta) -> timedelta:
-    """Returns the time until a lease with the given time left has certainly lapsed."""
-    # After the record, the earlier leader may have extended the lease briefly.
-    return max(left, BRIEF_LAPSE) if left else left
+def _time_to_record(left: timedelta) -> timedelta:
+    """Returns the time within which a lease lapses even if it is extended briefly.
+
+    A lease that has lapsed has no runs, so that extensions of it change nothing.
+    """
+    return max(left, BRIEF_LAPSE) if left > timedelta() else timedelta()
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -90,7 +90,7 @@
     def extend_briefly(self, now: timedelta) -> timedelta | None:
         """Returns the end to send at `now` for a lease that may be frozen.
 
-        Every leader that inherits the lease waits for at least `BRIEF_LAPSE`.
+        A record for the next leader must give at least `BRIEF_LAPSE` for such a lease.
         """
         return self._extend(BRIEF_EXTENSION, now)
 
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -148,18 +148,36 @@
         assert left <= record[WORKER] < left + timedelta(milliseconds=1)
 
 
-def test_a_brief_extension_before_a_change_of_the_leader_is_waited_for():
+async def _stored_by(leader, monkeypatch):
+    """Returns the times left in the first record of a leader."""
+    stored = []
+
+    async def write(writes, _removals=()):
+        stored.extend(writes.values())
+
+    monkeypatch.setattr(leader.handover._term, 'write', write)
+    await leader.handover.confirm()
+    return decode_leases(stored[0])[1]
+
+
+async def test_a_brief_extension_before_a_change_of_the_leader_is_waited_for(
+    monkeypatch,
+):
     """Guards against a second run beside the first: the earlier leader extended a frozen
     lease briefly, after the record whose time left is shorter."""
-    leader = _Leader({WORKER: timedelta(milliseconds=10)})
+    earlier = _Leader({WORKER: timedelta(milliseconds=10)})
+    leader = _Leader(await _stored_by(earlier, monkeypatch))
     now = leader.clock.monotonic()
     assert not leader.lease.lapsed(now + BRIEF_EXTENSION / (1 - CLOCK_DRIFT))
 
 
-def test_a_lease_that_lapsed_before_a_change_of_the_leader_is_not_waited_for():
+async def test_a_lease_that_lapsed_before_a_change_of_the_leader_is_not_waited_for(
+    monkeypatch,
+):
     """Guards against a wait that begins anew with each leader: a frozen lease that has
     lapsed has no runs, so a brief extension of it changes nothing."""
-    leader = _Leader({WORKER: timedelta()})
+    earlier = _Leader({WORKER: timedelta()})
+    leader = _Leader(await _stored_by(earlier, monkeypatch))
     assert leader.lease.lapsed(leader.clock.monotonic())
 
 
@@ -171,3 +189,18 @@
     leader.reach()
     assert leader.lease.extend_briefly(now) is not None
     assert leader.lease.time_left(now) >= LEFT
+
+
+async def test_a_record_during_the_recovery_knows_brief_extensions(monkeypatch):
+    """Guards against a second run beside the first: a worker was reached and its lease
+    extended during the recovery, while the record counted down the inherited time."""
+    leader = _Leader({WORKER: BRIEF_EXTENSION})
+    await _stored_by(leader, monkeypatch)
+    for _ in range(10):
+        now = leader.clock.monotonic()
+        leader.lease.observe_clock(now, now)
+        assert leader.lease.extend_briefly(now) is not None
+        leader.clock.shift(BRIEF_EXTENSION / 5)
+    leader.handover.refresh()
+    record, _ = leader.writer.puts.pop()
+    assert record[WORKER] >= leader.lease.time_left(leader.clock.monotonic())
