Extend leases before the first write of a term, unless the record is unreadable

Found by review, before any user saw it: a new leader whose first write was refused, while its own lease was renewed, extended no lease, gave up after 5 s, and all runs lapsed. It waited for the first write so that a term without a write has extended nothing.

That is more than is needed: a term that has read the record of an earlier one extends the leases in it only briefly, which the record covers, and the next leader waits for a whole lease of all other workers. Only a term that cannot read the record still waits, as the next one may be able to. A recovery is also one call shorter.

test_refused_writes_from_the_first_one_on_end_no_run failed before. The other tests of test_first_writes.py fail exactly the first write, which the tests before did not; the review showed two wrong variants that passed them and fail here.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -220,9 +220,11 @@
         while term.valid:
             result = await self._store.read(LEASES_KEY)
             if not isinstance(result, Err):
-                if result.ok_value.content is not None:
-                    scheduler.leases.inherit(result.ok_value.content)
-                await scheduler.begin_writing()
+                stored = result.ok_value.content
+                may_extend = stored is None or scheduler.leases.inherit(stored)
+                scheduler.begin_writing()
+                while term.valid and not (may_extend or scheduler.leases.confirmed):
+                    await self._clock.sleep(RECOVERY_RETRY_PAUSE)
                 return
             await self._clock.sleep(RECOVERY_RETRY_PAUSE)
 
--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -32,9 +32,9 @@
     thus go on although the store refuses the record without it.
 
     Only the record of the last term that has written counts: a later term may have
-    extended any lease. The first write of a term is therefore its record, and it extends
-    no lease before, so that a term which ends earlier leaves the record of another one
-    valid.
+    extended any lease. The first write of a term is therefore its record. Until then it
+    freezes the leases in the record of another term, which thus stays valid if it ends
+    earlier. A term that cannot read that record must not extend any lease before.
 
     Args:
         term: Leadership term that writes the record.
@@ -42,6 +42,9 @@
         log: Event log for a record that cannot be read.
         writer: Writes the record.
         lease_limit: Longest lease that a worker grants.
+
+    Attributes:
+        confirmed: Whether the first record of the term is stored.
     """
 
     def __init__(
@@ -63,24 +66,30 @@
         # Workers that a stored record may contain, and those in the latest record.
         self._frozen: set[WorkerId] = set()
         self._recorded: set[WorkerId] | None = None
+        self.confirmed = False
         self._recorded_at = timedelta()
 
-    def inherit(self, stored: bytes) -> None:
-        """Takes over the record of the previous leader, which has just been read."""
+    def inherit(self, stored: bytes) -> bool:
+        """Takes over the record of the previous leader, which has just been read.
+
+        Returns:
+            Whether leases may be extended before `confirm` has ended.
+        """
         now = self._clock.monotonic()
         try:
             token, times_left = decode_leases(stored)
         except ValueError as error:
             self._log.write('entry_skipped', key=LEASES_KEY, reason=str(error))
-            return
+            return False
         if token != self._term.previous_token:
             self._log.write('leases_outdated', token=token)
-            return
+            return True
         self._inherited = {
             worker_id: now + left for worker_id, left in times_left.items()
         }
         self._frozen.update(self._inherited)
         self._recovering.update(self._inherited)
+        return True
 
     async def confirm(self) -> None:
         """Stores the inherited record as that of this term, as its first write.
@@ -93,6 +102,7 @@
         self._recorded = set(lost)
         self._recorded_at = now
         await self._term.write({LEASES_KEY: self._encode(lost)})
+        self.confirmed = True
 
     def refresh(self) -> None:
         """Renews the stored times while the state is being recovered."""
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -195,11 +195,9 @@
         if self._failure is not None:
             raise self._failure
 
-    async def begin_writing(self) -> None:
+    def begin_writing(self) -> None:
         """Stores the record of leases, and then all other changes as they occur."""
-        with contextlib.suppress(TermLostError):
-            await self.leases.confirm()
-            self.spawn(self._write_progress())
+        self.spawn(self._write_progress())
 
     async def close(self) -> None:
         """Cancels all background tasks and closes the clients of workers."""
@@ -316,6 +314,7 @@
 
     async def _write_progress(self) -> None:
         with contextlib.suppress(TermLostError):
+            await self.leases.confirm()
             await self.writer.run()
 
     async def _tick(self) -> None:
