Keep a worker frozen that a new leader found missing

Found by review: the confirmation of a record of the recovery unfroze a worker that had just been found missing, so it was recorded only a second later, and a leader that ended within that second made the next one wait anew. test_a_worker_found_missing_stays_frozen_after_an_earlier_record_is_stored failed before.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -124,6 +124,9 @@
     def freeze(self, worker_id: WorkerId) -> None:
         """Records a worker at once; call it for a worker that is known to be gone."""
         self._set_frozen(worker_id, frozen=True)
+        # A record that is being stored does not unfreeze it.
+        self._recorded = {*(self._recorded or ()), worker_id}
+        self._recorded_at = self._clock.monotonic() - RECORD_INTERVAL
 
     def check(self, unreached: Mapping[WorkerId, WorkerLease]) -> None:
         """Writes the record if it has changed, or if it is due.
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -204,3 +204,13 @@
     leader.handover.refresh()
     record, _ = leader.writer.puts.pop()
     assert record[WORKER] >= leader.lease.time_left(leader.clock.monotonic())
+
+
+def test_a_worker_found_missing_stays_frozen_after_an_earlier_record_is_stored(leader):
+    """Guards against a lost worker that is recorded only a second after the recovery."""
+    leader.lose()
+    leader.handover.freeze(WORKER)
+    leader.handover.freeze(WorkerId('missing'))
+    missing = leader.handover.open(WorkerId('missing'))
+    leader.confirm()
+    assert missing.frozen
