Wait for a brief extension also after a record of an earlier version

By reading: a term of this version that ends before its first write may have extended a lease by 0.5 s that the record of an earlier version gives 10 ms. The least time is applied when a record is read, too; on records of this version that changes nothing. The new test fails without it.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -217,6 +217,7 @@
             self._log.write('entry_skipped', key=PRESSURE_KEY, reason=str(error))
 
     async def _inherit_leases(self, term: Term, scheduler: Scheduler) -> None:
+        """Takes over the record of leases, and begins to write with that of this term."""
         while term.valid:
             result = await self._store.read(LEASES_KEY)
             if not isinstance(result, Err):
--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -85,7 +85,9 @@
             self._log.write('leases_outdated', token=token)
             return True
         self._inherited = {
-            worker_id: now + left for worker_id, left in times_left.items()
+            # The record may be that of an earlier version, without brief extensions.
+            worker_id: now + _with_brief_extension(left)
+            for worker_id, left in times_left.items()
         }
         self._frozen.update(self._inherited)
         self._recovering.update(self._inherited)
@@ -160,7 +162,9 @@
         }
 
     def _encode(self, lost: Mapping[WorkerId, timedelta]) -> bytes:
-        times = {worker_id: _time_to_record(left) for worker_id, left in lost.items()}
+        times = {
+            worker_id: _with_brief_extension(left) for worker_id, left in lost.items()
+        }
         return encode_leases(self._term.token, times)
 
     def _write(self, lost: Mapping[WorkerId, timedelta], now: timedelta) -> None:
@@ -190,7 +194,7 @@
             lease.frozen = frozen
 
 
-def _time_to_record(left: timedelta) -> timedelta:
+def _with_brief_extension(left: timedelta) -> timedelta:
     """Returns the time within which a lease lapses even if it is extended briefly.
 
     A lease that has lapsed has no runs, so that extensions of it change nothing.
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -214,3 +214,11 @@
     missing = leader.handover.open(WorkerId('missing'))
     leader.confirm()
     assert missing.frozen
+
+
+def test_a_short_time_left_in_a_record_of_an_earlier_version_is_extended():
+    """Guards against a second run beside the first: a term that wrote nothing extended a
+    lease briefly after the record of an earlier version."""
+    leader = _Leader({WORKER: timedelta(milliseconds=10)})
+    now = leader.clock.monotonic()
+    assert not leader.lease.lapsed(now + BRIEF_EXTENSION / (1 - CLOCK_DRIFT))
