--- a/chiveworks/dispatch/tests/test_first_writes.py
+++ b/chiveworks/dispatch/tests/test_first_writes.py
@@ -14,7 +14,10 @@
     check_one_run,
     start_task,
 )
-from chiveworks.metastore import LEASES_KEY
+from chiveworks.dispatch.tests.test_departing_workers import RESTART_LIMIT
+from chiveworks.metastore import JOB_PREFIX, LEASES_KEY
+
+LISTING_TIME = timedelta(seconds=1.5)
 
 
 class FaultyLink(StoreLink):
@@ -49,6 +52,15 @@
         await self._deployment.store.commit(transaction)
 
 
+class SlowLink(StoreLink):
+    """Connection to the store on which the jobs are listed slowly."""
+
+    async def read_all(self, prefix):
+        if prefix == JOB_PREFIX:
+            await self._deployment.clock.sleep(LISTING_TIME)
+        return await self._deployment.store.read_all(prefix)
+
+
 @pytest.fixture
 async def linked():
     created = LinkedDeployment()
@@ -155,3 +167,28 @@
     link.fault = ''
     await linked.wait(2)
     assert [entry[0] for entry in linked.runners[name].history] == ['start']
+
+
+@pytest.mark.parametrize('count', [1, 3, 5])
+async def test_terms_that_end_in_a_slow_recovery_do_not_extend_an_unrecorded_wait(
+    linked, monkeypatch, count
+):
+    """Guards against a whole lease that is waited for anew by each leader, after a worker
+    was lost while no process led."""
+    first, name = await start_task(linked)
+    await linked.wait(2)
+    await linked.leaders['a'].resign()
+    await linked.kill(first)
+    linked.runners[name].leave()
+    linked.store.remove(f'workers/{name}')
+    for number in range(count):
+        process = f'b{number}'
+        with monkeypatch.context() as patch:
+            patch.setattr(test_handed_over_leases, 'StoreLink', SlowLink)
+            task = linked.add_process(process)
+        await linked.wait(1)
+        await linked.leaders[process].resign()
+        await linked.kill(task)
+    linked.add_process('c')
+    await linked.wait(RESTART_LIMIT - count)
+    assert linked.running_on()
