--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,5 @@
-"""A worker is lost for good as jobs arrive; their number is not given as pending."""
+"""A lasting task loses its worker three times in a row; its job is shown as failed."""
 
-import signal
 import sys
 import time
 from pathlib import Path
@@ -8,51 +7,56 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'standins'))
 import lab as l
 
-JOBS = 24
-#: `visible_ms` + 2 s.
-GRACE_S = l.BOUNDS['visible_ms'] / 1000 + 2
+CRASHES = 3
+DOWN_S = 2.0
 
 
 def case(lab: l.Lab) -> int:
-    lab.configure()
+    lab.configure(max_attempts=2, target_latency_ms=2500)
     lab.wait_ready()
-    lost = next(iter(lab.worker_settings))
-    if lab.trouble:
-        lab.signal(lost, signal.SIGSTOP)
-        lab.note(f'the worker {lost} lost power, silently and for good')
-    step = {'count': 1, 'cpu': 1000, 'mem_mb': 1000, 'estimate_ms': 10000}
-    accepted: dict[str, float] = {}
-    for _ in range(JOBS):
-        job = l.job_id()
-        lab.submit(job, [step], {'ms': 10000, 'cpu': 1000})
-        accepted[job] = time.time()
-    worst = ''
-    broken = False
+    job = l.job_id()
+    step = {
+        'count': 1,
+        'cpu': 3200,
+        'mem_mb': 6400,
+        'estimate_ms': 320,
+        'long_running': True,
+        'image': 'img-1',
+        'target_ms': 18,
+    }
+    lab.submit(job, [step], {'lasts': True, 'cpu': 3200})
+    task = f'{job}.0.0.0'
+    down: list[tuple[float, str]] = []
+    for number in range(1, CRASHES + 1):
+        start = lab.wait_until(
+            lambda: any(each['run'] >= number for each in lab.starts(job))
+            and lab.starts(job)[-1],
+            15,
+            f'run {number} of the task',
+        )
+        if not lab.trouble:
+            break
+        time.sleep(0.3)
+        worker = start['worker']
+        lab.kill(worker)
+        lab.note(f'the worker {worker} crashed under run {start["run"]} of {task}')
+        time.sleep(DOWN_S)
+        lab.start_worker(worker)
+        lab.note(f'the worker {worker} started again under its id')
+    shown = ''
     until = time.time() + 10
     while time.time() < until:
-        for name in lab.fronts:
-            begun = {event['task'][:16] for event in lab.events() if event['event'] == 'start'}
-            asked_at = time.time()
-            due = [
-                job
-                for job, at in accepted.items()
-                if job not in begun and asked_at - at > GRACE_S
-            ]
-            status, reply = lab.request('GET', '', entry=name)
-            if status != 200 or not due:
-                continue
-            lab.note(
-                f'{len(due)} jobs were accepted over {GRACE_S:g} s before and have not '
-                f'begun; {name} gives {reply["pending"]} as pending'
-            )
-            if reply['pending'] < len(due) / 2:
-                broken = True
-                worst = worst or (
-                    f'{name} gives {reply["pending"]} as pending, while {len(due)} jobs '
-                    f'that were accepted over {GRACE_S:g} s before have not begun'
-                )
-        time.sleep(0.25)
-    return lab.finish(broken, worst or 'the numbers of pending jobs were right')
+        shown = lab.state(job)
+        if shown in {'failed', 'cancelled', 'gone'}:
+            break
+        time.sleep(0.5)
+    failed = [e for e in lab.events() if e['event'] == 'end' and e['how'] == 'failed']
+    broken = shown in {'failed', 'cancelled', 'gone'}
+    return lab.finish(
+        broken,
+        f'the lasting job that nobody cancelled is shown as {shown!r}; '
+        f'{len(failed)} of its runs ended failed',
+    )
 
 
 l.run(case)
