--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -51,11 +51,16 @@
     Args:
         entries: Number of entry processes.
         workers: Number of workers.
+        kinds: Kinds of the first workers; the others are of kind `a`.
         worker_settings: Settings of all workers besides the usual ones.
     """
 
     def __init__(
-        self, entries: int = 3, workers: int = 8, **worker_settings: Any
+        self,
+        entries: int = 3,
+        workers: int = 8,
+        kinds: tuple[str, ...] = (),
+        **worker_settings: Any,
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
@@ -79,7 +84,8 @@
         self.wait_for(self.store)
         self.worker_settings: dict[str, dict[str, Any]] = {}
         for number in range(workers):
-            self._add_worker(number, worker_settings)
+            own = {'kind': kinds[number]} if number < len(kinds) else {}
+            self._add_worker(number, {**worker_settings, **own})
         self.fronts: dict[str, str] = {}
         self.entry_settings: dict[str, Path] = {}
         for number in range(entries):
@@ -141,7 +147,9 @@
             'host': host,
             'port': free_port(host),
             'store': self.store,
+            'kind': 'a',
             'rack': f'r1-{number // 8}',
+            'first_beat_s': 0,
             'cpu': 16000,
             'mem_mb': 64000,
             'stop_ms': BOUNDS['stop_ms'],
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,7 +1,8 @@
 """Stand-in of one worker (`PROTOCOL.md`, Running tasks).
 
 Usage: worker.py SETTINGS, a JSON file with `id`, `service`, `zone`, `host`, `port`,
-`store`, `rack`, `cpu`, `mem_mb`, `stop_ms`, `hold_max_ms`, `gang_ms`, `guards` and `log`.
+`store`, `kind`, `rack`, `cpu`, `mem_mb`, `stop_ms`, `hold_max_ms`, `gang_ms`, `first_beat_s` (when
+it first reports after its start) and `log`.
 
 The `spec` of a task is JSON: `ms` (how long it works), `fails` (ends as failed) and
 `lasts` (works until it is stopped) and
@@ -115,6 +116,7 @@
 
     async def beat(self) -> None:
         settings = self.settings
+        await asyncio.sleep(settings['first_beat_s'])
         async with ClientSession() as session:
             while True:
                 self.seq += 1
@@ -131,7 +133,7 @@
                         'mem_mb': settings['mem_mb'],
                         'gpu': 0,
                     },
-                    'labels': ['a', settings['rack']],
+                    'labels': [settings['kind'], settings['rack']],
                     'clock_ms': self.clock_ms(),
                     'born': self.born,
                     'seq': self.seq,
