--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -4,11 +4,13 @@
 (the metrics port is fixed) and on free ports. All processes are ended by `Lab.close`.
 """
 
+import base64
 import http.client
 import json
 import os
 import random
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -360,12 +362,10 @@
         self.wait_until(served, 15, 'all entry processes answer')
         time.sleep(1.5)
 
-    def leader(self) -> str:
-        """Returns the entry process that leads, from its key in the store."""
+    def leader_value(self) -> str:
+        """Returns the content of the leader's key: its process, and a text of its term."""
         _, item = call(self.store, 'GET', '/v1/kv-key?key=chiveworks/leader/holder')
-        import base64
-
-        return base64.b64decode(item['value']).decode().split()[0]
+        return base64.b64decode(item['value']).decode()
 
     # The record
 
@@ -425,8 +425,6 @@
     finally:
         lab.close()
         if code == 0 or os.environ.get('KEEP') != '1':
-            import shutil
-
             shutil.rmtree(lab.folder, ignore_errors=True)
         else:
             print(f'logs: {lab.folder}')
