--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -48,22 +48,9 @@
 
 
 class Lab:
-    """A deployment: store, workers and entry processes.
+    """A deployment: store, workers and entry processes."""
 
-    Args:
-        entries: Number of entry processes.
-        workers: Number of workers.
-        kinds: Kinds of the first workers; the others are of kind `a`.
-        worker_settings: Settings of all workers besides the usual ones.
-    """
-
-    def __init__(
-        self,
-        entries: int = 3,
-        workers: int = 8,
-        kinds: tuple[str, ...] = (),
-        **worker_settings: Any,
-    ) -> None:
+    def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.began = time.time()
@@ -79,17 +66,33 @@
         self.environment['PYTHONDONTWRITEBYTECODE'] = '1'
         self.worker_log = self.folder / 'workers.log'
         self.worker_log.touch()
+        self.worker_settings: dict[str, dict[str, Any]] = {}
+        self.fronts: dict[str, str] = {}
+        self.entry_settings: dict[str, Path] = {}
+
+    def deploy(
+        self,
+        entries: int = 3,
+        workers: int = 8,
+        kinds: tuple[str, ...] = (),
+        **worker_settings: Any,
+    ) -> None:
+        """Starts all processes.
+
+        Args:
+            entries: Number of entry processes.
+            workers: Number of workers.
+            kinds: Kinds of the first workers; the others are of kind `a`.
+            worker_settings: Settings of all workers besides the usual ones.
+        """
         self.note(f'a deployment of {entries} entry processes and {workers} workers')
         host = next(self.hosts)
         self.store = f'{host}:{free_port(host)}'
         self.start('store', [sys.executable, str(STANDINS / 'store.py'), *self.store.split(':')])
         self.wait_for(self.store)
-        self.worker_settings: dict[str, dict[str, Any]] = {}
         for number in range(workers):
             own = {'kind': kinds[number]} if number < len(kinds) else {}
             self._add_worker(number, {**worker_settings, **own})
-        self.fronts: dict[str, str] = {}
-        self.entry_settings: dict[str, Path] = {}
         for number in range(entries):
             self._add_entry(number)
 
@@ -415,17 +418,18 @@
 
 def run(case: Any, **settings: Any) -> None:
     """Runs a case and exits: 0 the rule held, 1 it was broken, 2 it could not run."""
-    lab = Lab(**settings)
+    lab = Lab()
     code = 2
     try:
+        lab.deploy(**settings)
         code = case(lab)
-    except CannotRunError as error:
-        lab.note(f'COULD NOT RUN: {error}')
-        print(f'could not run: {error}')
+    except Exception as error:
+        lab.note(f'COULD NOT RUN: {error!r}')
+        print(f'could not run: {error!r}')
     finally:
         lab.close()
-        if code == 0 or os.environ.get('KEEP') != '1':
-            shutil.rmtree(lab.folder, ignore_errors=True)
-        else:
+        if os.environ.get('KEEP') == '1':
             print(f'logs: {lab.folder}')
+        else:
+            shutil.rmtree(lab.folder, ignore_errors=True)
     sys.exit(code)
