Write a tombstone when a job that is not stored is cancelled

Cause: JobIntake answered "not found" from a read and wrote nothing. The write of the submission, whose response was lost, expects that the key does not exist, so it succeeded when the store applied it 5.5 s later.

Ruled out: the leader (it never sees the job before the late write) and the repetitions of the submission (the store drops them in the case).

Change: a cancelling of a job that is not in the store writes a tombstone under its key, with the same condition as the submission, so exactly one of the two succeeds. 410 is answered only once the tombstone is stored; if the submission came first, the stored job is cancelled. A submission that meets a tombstone is refused and never runs. The leader removes tombstones after 30 s, a whole batch at a time. Each process writes at most 10 a second (40 at once) and answers 429 beyond that, so unknown ids cannot take the writes of submissions and of the leader.

TokenBucket moves to chiveworks.base, as two packages use it.

--- a/chiveworks/admission/__init__.py
+++ b/chiveworks/admission/__init__.py
@@ -10,7 +10,6 @@
 from chiveworks.admission._permit import Permit
 from chiveworks.admission._settings import AdmissionSettings
 from chiveworks.admission._tenant_limit_failure import TenantLimitFailure
-from chiveworks.admission._token_bucket import TokenBucket
 
 __all__ = (
     'AdaptiveLimiter',
@@ -24,5 +23,4 @@
     'MinLatencyEstimate',
     'Permit',
     'TenantLimitFailure',
-    'TokenBucket',
 )
--- a/chiveworks/admission/_admission.py
+++ b/chiveworks/admission/_admission.py
@@ -13,8 +13,15 @@
 from chiveworks.admission._permit import Permit
 from chiveworks.admission._settings import AdmissionSettings
 from chiveworks.admission._tenant_limit_failure import TenantLimitFailure
-from chiveworks.admission._token_bucket import TokenBucket
-from chiveworks.base import Clock, EntryName, Failure, ServiceClass, Step, TenantName
+from chiveworks.base import (
+    Clock,
+    EntryName,
+    Failure,
+    ServiceClass,
+    Step,
+    TenantName,
+    TokenBucket,
+)
 
 _Key = tuple[TenantName, EntryName]
 #: Tenant names come from a header, so callers can send any number of them; this
--- a/chiveworks/base/__init__.py
+++ b/chiveworks/base/__init__.py
@@ -27,6 +27,7 @@
 from chiveworks.base._service_class import ServiceClass
 from chiveworks.base._step import Step
 from chiveworks.base._system_clock import SystemClock
+from chiveworks.base._token_bucket import TokenBucket
 from chiveworks.base._verdict import Verdict
 
 __all__ = (
@@ -51,6 +52,7 @@
     'TaskId',
     'TenantName',
     'TicketMs',
+    'TokenBucket',
     'Verdict',
     'WorkerId',
     'ZoneName',
--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -23,7 +23,13 @@
     Replica,
     Term,
 )
-from chiveworks.workflow import JobState, Submission, TaskState, decode_record
+from chiveworks.workflow import (
+    JobState,
+    Submission,
+    TaskState,
+    Tombstone,
+    decode_record,
+)
 
 #: Pause after a term that an error ended, in which other processes may lead.
 FAILED_TERM_PAUSE: Final = timedelta(seconds=1)
@@ -35,7 +41,7 @@
 RECOVERY_RETRY_PAUSE: Final = timedelta(milliseconds=60)
 
 _JOB_ID: Final = re.compile('[!-~]+')
-_Record = Submission | JobState
+_Record = Submission | JobState | Tombstone
 
 
 class RecoveryTimeoutError(Exception):
@@ -184,8 +190,7 @@
             if term.lost.is_set():
                 # A listing may succeed after the recovery was given up.
                 return
-            final = isinstance(record, JobState)
-            scheduler.final_records.observe(JobId(name), final=final)
+            scheduler.final_records.observe(JobId(name), record)
             if isinstance(record, Submission):
                 scheduler.accept(record, progress.pop(name, None))
 
--- a/chiveworks/dispatch/_progress_writer.py
+++ b/chiveworks/dispatch/_progress_writer.py
@@ -72,7 +72,10 @@
         while True:
             await self._wake.wait()
             await self._write_batch()
-            if not self._changed and not self._extra:
+            # A few removals wait for a later transaction, a whole batch of them does not.
+            if not (
+                self._changed or self._extra or len(self._removals) >= BATCH_ENTRIES
+            ):
                 self._wake.clear()
             await self._clock.sleep(WRITE_GAP)
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -46,6 +46,7 @@
     Submission,
     Task,
     TaskState,
+    Tombstone,
     encode_counts,
 )
 
@@ -54,6 +55,10 @@
 #: Interval at which the numbers of pending jobs are published. The platform allows
 #: them to be 2 s old.
 PENDING_INTERVAL: Final = timedelta(milliseconds=700)
+#: Time for which a tombstone is kept. It must outlast the writes of submissions that
+#: the store may still apply, and be shorter than the time after which the client of a
+#: refused job should come back.
+TOMBSTONE_RETENTION: Final = timedelta(seconds=30)
 #: Lag of the event loop from which the log names it.
 NOTABLE_LAG: Final = timedelta(milliseconds=50)
 #: Minimum pause between two assignment rounds. After a longer round the pause is as
@@ -95,7 +100,11 @@
         self._stopping_gangs: set[StepRun] = set()
         self._load = LoadMeter()
         self.writer = ProgressWriter(term, clock, self._on_durable)
-        self.final_records = FinalRecords(clock, self.writer, 2 * bounds.retention)
+        self.final_records = FinalRecords(
+            clock,
+            self.writer,
+            {JobState: 2 * bounds.retention, Tombstone: TOMBSTONE_RETENTION},
+        )
         self.leases = LeaseHandover(term, clock, log, self.writer, bounds.lease_limit)
         self.handover = TermHandover(clock, log, self.writer)
         self.fleet = Fleet(
--- a/chiveworks/intake/__init__.py
+++ b/chiveworks/intake/__init__.py
@@ -2,7 +2,8 @@
 
 from chiveworks.intake._capacity_check import CapacityCheck
 from chiveworks.intake._capacity_follower import CapacityFollower
-from chiveworks.intake._job_intake import IntakeVerdict, JobIntake
+from chiveworks.intake._intake_verdict import IntakeVerdict
+from chiveworks.intake._job_intake import JobIntake
 from chiveworks.intake._queue_catalogue import (
     IntakeLimits,
     QueueCatalogue,
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -1,8 +1,6 @@
 """Accepts and cancels jobs and reports their state, using only the store."""
 
-import enum
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import timedelta
 from typing import Final
 
@@ -10,10 +8,14 @@
 
 from chiveworks.base import Clock, JobId, Revision, Verdict
 from chiveworks.events import EventLog
+from chiveworks.intake._intake_verdict import IntakeVerdict
+from chiveworks.intake._job_canceller import JobCanceller
+from chiveworks.intake._retry_policy import RESOLVE_TIMEOUT, RETRY_PAUSE
 from chiveworks.intake._unservable_job import UnservableJob
 from chiveworks.metastore import (
     PENDING_KEY,
     Committed,
+    Conflict,
     MetadataStore,
     StoreItem,
     Transaction,
@@ -23,16 +25,12 @@
 from chiveworks.workflow import (
     JobState,
     Submission,
+    Tombstone,
     decode_counts,
     decode_record,
     encode_submission,
 )
 
-#: Time after which the outcome of a write without a response is reported as unknown.
-#: Clients time out after 3 s and repeat the request, whose job id then resolves it.
-RESOLVE_TIMEOUT: Final = timedelta(milliseconds=1000)
-#: Pause before a write without a response is retried.
-RETRY_PAUSE: Final = timedelta(milliseconds=40)
 #: Time for which counts read from the store are cached. The platform allows counts
 #: to be 2 s old, and the leader publishes them every 0.7 s.
 COUNT_CACHE_TTL: Final = timedelta(milliseconds=500)
@@ -42,24 +40,6 @@
 MAX_PUBLISHED_AGE: Final = timedelta(seconds=3)
 
 
-class IntakeVerdict(enum.Enum):
-    """Outcome of a client request."""
-
-    ACCEPTED = 'accepted'
-    #: The request had no effect; the client may retry it.
-    REFUSED = 'refused'
-    #: The request may or may not have had an effect.
-    UNKNOWN = 'unknown'
-    NOT_FOUND = 'not_found'
-    #: The stored record of the job cannot be read.
-    UNREADABLE = 'unreadable'
-
-
-_FINAL_CANCEL_VERDICTS: Final = frozenset(
-    (IntakeVerdict.ACCEPTED, IntakeVerdict.NOT_FOUND, IntakeVerdict.UNREADABLE)
-)
-
-
 def _always_available() -> bool:
     return True
 
@@ -92,6 +72,7 @@
         self._log = log
         self._available = available
         self._refusal_reason = refusal_reason
+        self._canceller = JobCanceller(store, clock, log, available)
         self._counts: dict[str, int] = {}
         self._counted_at: timedelta | None = None
 
@@ -110,14 +91,8 @@
         return outcome
 
     async def cancel(self, job_id: JobId) -> IntakeVerdict:
-        """Records the cancellation of a job in the store."""
-        deadline = self._clock.monotonic() + RESOLVE_TIMEOUT
-        verdict = IntakeVerdict.REFUSED
-        while self._available() and self._clock.monotonic() < deadline:
-            verdict = await self._try_cancel(job_id)
-            if verdict in _FINAL_CANCEL_VERDICTS:
-                break
-            await self._clock.sleep(RETRY_PAUSE)
+        """Cancels a job; see `JobCanceller.cancel`."""
+        verdict = await self._canceller.cancel(job_id)
         self._log.write('cancel_requested', job=job_id, outcome=verdict.value)
         return verdict
 
@@ -130,6 +105,8 @@
         if item.content is None:
             return IntakeVerdict.NOT_FOUND
         record = self._decode_record(job_id, item.content)
+        if isinstance(record, Tombstone):
+            return IntakeVerdict.NOT_FOUND
         if isinstance(record, JobState | IntakeVerdict):
             return record
         if record.cancelled:
@@ -165,8 +142,7 @@
         reason = self._refusal_reason(submission)
         if reason and await self._is_absent(key):
             return UnservableJob(reason)
-        content = encode_submission(submission)
-        return await self._write(Transaction({key: Revision(0)}, {key: content}))
+        return await self._store_submission(submission)
 
     async def _is_absent(self, key: str) -> bool:
         """Tells whether a key is certainly not in the store."""
@@ -187,21 +163,24 @@
 
     def _decode_record(
         self, job_id: JobId, stored: bytes
-    ) -> Submission | JobState | IntakeVerdict:
+    ) -> Submission | JobState | Tombstone | IntakeVerdict:
         try:
             return decode_record(job_id, stored)
         except ValueError as error:
             self._log.write('entry_skipped', key=job_key(job_id), reason=str(error))
             return IntakeVerdict.UNREADABLE
 
-    async def _write(self, transaction: Transaction) -> IntakeVerdict:
+    async def _store_submission(self, submission: Submission) -> IntakeVerdict:
+        key = job_key(submission.job_id)
+        transaction = Transaction(
+            {key: Revision(0)}, {key: encode_submission(submission)}
+        )
         deadline = self._clock.monotonic() + RESOLVE_TIMEOUT
         sent = False
         while self._clock.monotonic() < deadline:
             result = await self._store.commit(transaction)
             if not isinstance(result, Err):
-                # A conflict means that the job is already stored.
-                return IntakeVerdict.ACCEPTED
+                return self._submission_verdict(submission.job_id, result.ok_value)
             if result.err_value.verdict is Verdict.OUTCOME_UNKNOWN:
                 sent = True
             elif not sent:
@@ -209,24 +188,13 @@
             await self._clock.sleep(RETRY_PAUSE)
         return IntakeVerdict.UNKNOWN
 
-    async def _try_cancel(self, job_id: JobId) -> IntakeVerdict:
-        key = job_key(job_id)
-        result = await self._store.read(key)
-        if isinstance(result, Err):
-            return IntakeVerdict.UNKNOWN
-        item = result.ok_value
-        if item.content is None:
-            return IntakeVerdict.NOT_FOUND
-        record = self._decode_record(job_id, item.content)
-        if isinstance(record, IntakeVerdict):
-            return record
-        if isinstance(record, JobState) or record.cancelled:
-            return IntakeVerdict.ACCEPTED
-        transaction = Transaction(
-            expected={key: item.revision},
-            writes={key: encode_submission(replace(record, cancelled=True))},
-        )
-        outcome = await self._store.commit(transaction)
-        if not isinstance(outcome, Err) and isinstance(outcome.ok_value, Committed):
-            return IntakeVerdict.ACCEPTED
-        return IntakeVerdict.UNKNOWN
+    def _submission_verdict(
+        self, job_id: JobId, outcome: Committed | Conflict
+    ) -> IntakeVerdict:
+        if isinstance(outcome, Conflict):
+            present = outcome.items.get(job_key(job_id))
+            content = present.content if present else None
+            if content and isinstance(self._decode_record(job_id, content), Tombstone):
+                return IntakeVerdict.WITHDRAWN
+        # Any other conflict means that the job is already stored.
+        return IntakeVerdict.ACCEPTED
--- a/chiveworks/platform/_client_api.py
+++ b/chiveworks/platform/_client_api.py
@@ -21,8 +21,8 @@
 
 _MIN_ERROR_STATUS: Final = 400
 _JOB_ID: Final = re.compile('[0-9a-fA-F]{16}')
-#: Time after which the client of a job that no worker can run should come back at the
-#: earliest. Larger workers are added by operators, which takes minutes.
+#: Time after which the client of a job that never runs under its id should come back at
+#: the earliest. Larger workers are added by operators, which takes minutes.
 UNSERVABLE_RETRY_S: Final = 120
 _RETRIABLE_STATUSES: Final = frozenset((429, 503))
 
@@ -112,7 +112,9 @@
         )
         outcome = await self._intake.submit(submission)
         if isinstance(outcome, UnservableJob):
-            return _unservable_response(outcome)
+            return _final_refusal(outcome.reason)
+        if outcome is IntakeVerdict.WITHDRAWN:
+            return _final_refusal('the job was cancelled before it was stored')
         return _verdict_response(outcome)
 
     async def _cancel(self, job_id: JobId) -> web.Response:
@@ -145,9 +147,9 @@
     return web.json_response({'error': reason}, status=status)
 
 
-def _unservable_response(outcome: UnservableJob) -> web.Response:
+def _final_refusal(reason: str) -> web.Response:
     # The protocol has no other status for a job that is not accepted and never runs.
-    response = _error_response(503, f'not run: {outcome.reason}')
+    response = _error_response(503, f'not run: {reason}')
     response.headers['Retry-After'] = str(UNSERVABLE_RETRY_S)
     return response
 
@@ -159,6 +161,8 @@
         return _error_response(410, 'there is no such job')
     if verdict is IntakeVerdict.REFUSED:
         return _error_response(503, 'not run: the store is not available')
+    if verdict is IntakeVerdict.THROTTLED:
+        return _error_response(429, 'not run: too many unknown jobs are cancelled')
     if verdict is IntakeVerdict.UNREADABLE:
         return _error_response(500, 'not run: the stored record cannot be read')
     return _error_response(504, 'outcome unknown: the store did not answer')
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -7,6 +7,7 @@
     encode_final_state,
     encode_progress,
     encode_submission,
+    encode_tombstone,
     restore_progress,
 )
 from chiveworks.workflow._job import Job, JobState
@@ -16,6 +17,7 @@
 from chiveworks.workflow._step_run import StepRun
 from chiveworks.workflow._step_spec import StepSpec
 from chiveworks.workflow._task import UNKNOWN_PACE, Task, TaskRef, TaskState
+from chiveworks.workflow._tombstone import Tombstone
 
 __all__ = (
     'MAX_STRETCH',
@@ -31,11 +33,13 @@
     'Task',
     'TaskRef',
     'TaskState',
+    'Tombstone',
     'decode_counts',
     'decode_record',
     'encode_counts',
     'encode_final_state',
     'encode_progress',
     'encode_submission',
+    'encode_tombstone',
     'restore_progress',
 )
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -21,6 +21,7 @@
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_spec import StepSpec
 from chiveworks.workflow._task import Task, TaskState
+from chiveworks.workflow._tombstone import Tombstone
 
 _MILLISECOND: Final = timedelta(milliseconds=1)
 # Raised by MessagePack, and by decoders if a record has an unexpected structure.
@@ -79,11 +80,18 @@
     return packed
 
 
-def decode_record(job_id: JobId, stored: bytes) -> Submission | JobState:
+def encode_tombstone() -> bytes:
+    """Encodes the record of a job that must not be stored any more."""
+    packed: bytes = msgpack.packb({'tombstone': True})
+    return packed
+
+
+def decode_record(job_id: JobId, stored: bytes) -> Submission | JobState | Tombstone:
     """Decodes the record of a job.
 
     Returns:
-        The submission, or the terminal state if the job has ended.
+        The submission, or the terminal state if the job has ended, or the tombstone of
+        a job that was not stored.
 
     Raises:
         ValueError: The bytes are not a job record.
@@ -92,6 +100,8 @@
         fields = msgpack.unpackb(stored)
         if 'state' in fields:
             return _unpack_final_state(fields)
+        if 'tombstone' in fields:
+            return Tombstone()
         return _unpack_submission(job_id, fields)
     except _DECODE_ERRORS as error:
         raise ValueError(
