Refuse a job that no worker can run with a tombstone instead of a read

Callers could see: a submission without an answer, its repetition refused with "not run: step N cannot run", and the job run all the same. docs/platform.md named this as not covered.

Change: the refusal writes a tombstone under the key of the job, with the condition of a submission. It is a write in place of a read, as for an accepted job. A later submission that is not refused replaces the tombstone; one whose earlier attempt was sent before the refusal does not. RecordCreator holds the loop that resolves lost answers for both.

--- a/chiveworks/intake/_job_canceller.py
+++ b/chiveworks/intake/_job_canceller.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from chiveworks.base import Clock, JobId, Revision, TokenBucket
+from chiveworks.base import Clock, JobId, TokenBucket
 from chiveworks.events import EventLog
 from chiveworks.intake._intake_verdict import IntakeVerdict
 from chiveworks.intake._retry_policy import RESOLVE_TIMEOUT, RETRY_PAUSE
@@ -94,7 +94,9 @@
             self._log.write('entry_skipped', key=item.key, reason=str(error))
             return IntakeVerdict.UNREADABLE
         if isinstance(record, Tombstone):
-            return IntakeVerdict.NOT_FOUND
+            return (
+                IntakeVerdict.NOT_FOUND if record.cancelled else await self._bury(item)
+            )
         if isinstance(record, JobState) or record.cancelled:
             return IntakeVerdict.ACCEPTED
         return await self._mark_cancelled(item, record)
@@ -110,11 +112,13 @@
         return IntakeVerdict.UNKNOWN
 
     async def _bury(self, item: StoreItem) -> IntakeVerdict:
-        """Writes a tombstone for a job that is not in the store."""
+        """Writes a tombstone for a job that was not stored."""
         if self._tombstones.try_take(self._clock.monotonic()) is not None:
             return IntakeVerdict.THROTTLED
-        tombstone = Transaction({item.key: Revision(0)}, {item.key: encode_tombstone()})
-        if await self._commit(tombstone):
+        content = encode_tombstone(Tombstone(cancelled=True))
+        if await self._commit(
+            Transaction({item.key: item.revision}, {item.key: content})
+        ):
             return IntakeVerdict.NOT_FOUND
         return IntakeVerdict.UNKNOWN
 
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -6,19 +6,16 @@
 
 from result import Err
 
-from chiveworks.base import Clock, JobId, Revision, Verdict
+from chiveworks.base import Clock, JobId
 from chiveworks.events import EventLog
 from chiveworks.intake._intake_verdict import IntakeVerdict
 from chiveworks.intake._job_canceller import JobCanceller
-from chiveworks.intake._retry_policy import RESOLVE_TIMEOUT, RETRY_PAUSE
+from chiveworks.intake._record_creator import RecordCreator
 from chiveworks.intake._unservable_job import UnservableJob
 from chiveworks.metastore import (
     PENDING_KEY,
-    Committed,
-    Conflict,
     MetadataStore,
     StoreItem,
-    Transaction,
     job_key,
     progress_key,
 )
@@ -28,7 +25,6 @@
     Tombstone,
     decode_counts,
     decode_record,
-    encode_submission,
 )
 
 #: Time for which counts read from the store are cached. The platform allows counts
@@ -72,6 +68,7 @@
         self._log = log
         self._available = available
         self._refusal_reason = refusal_reason
+        self._creator = RecordCreator(store, clock, log)
         self._canceller = JobCanceller(store, clock, log, available)
         self._counts: dict[str, int] = {}
         self._counted_at: timedelta | None = None
@@ -138,16 +135,15 @@
     ) -> IntakeVerdict | UnservableJob:
         if not self._available():
             return IntakeVerdict.REFUSED
-        key = job_key(submission.job_id)
         reason = self._refusal_reason(submission)
-        if reason and await self._is_absent(key):
-            return UnservableJob(reason)
-        return await self._store_submission(submission)
-
-    async def _is_absent(self, key: str) -> bool:
-        """Tells whether a key is certainly not in the store."""
-        stored = await self._store.read(key)
-        return not isinstance(stored, Err) and stored.ok_value.content is None
+        if not reason:
+            return await self._creator.create(submission.job_id, submission)
+        # An earlier submission, whose response was lost, may still be applied by the
+        # store, so it would not do to read that there is no such job.
+        verdict = await self._creator.create(
+            submission.job_id, Tombstone(cancelled=False)
+        )
+        return UnservableJob(reason) if verdict is IntakeVerdict.WITHDRAWN else verdict
 
     def _decode_counts(self, item: StoreItem) -> dict[str, int] | None:
         if item.content is None:
@@ -169,32 +165,3 @@
         except ValueError as error:
             self._log.write('entry_skipped', key=job_key(job_id), reason=str(error))
             return IntakeVerdict.UNREADABLE
-
-    async def _store_submission(self, submission: Submission) -> IntakeVerdict:
-        key = job_key(submission.job_id)
-        transaction = Transaction(
-            {key: Revision(0)}, {key: encode_submission(submission)}
-        )
-        deadline = self._clock.monotonic() + RESOLVE_TIMEOUT
-        sent = False
-        while self._clock.monotonic() < deadline:
-            result = await self._store.commit(transaction)
-            if not isinstance(result, Err):
-                return self._submission_verdict(submission.job_id, result.ok_value)
-            if result.err_value.verdict is Verdict.OUTCOME_UNKNOWN:
-                sent = True
-            elif not sent:
-                return IntakeVerdict.REFUSED
-            await self._clock.sleep(RETRY_PAUSE)
-        return IntakeVerdict.UNKNOWN
-
-    def _submission_verdict(
-        self, job_id: JobId, outcome: Committed | Conflict
-    ) -> IntakeVerdict:
-        if isinstance(outcome, Conflict):
-            present = outcome.items.get(job_key(job_id))
-            content = present.content if present else None
-            if content and isinstance(self._decode_record(job_id, content), Tombstone):
-                return IntakeVerdict.WITHDRAWN
-        # Any other conflict means that the job is already stored.
-        return IntakeVerdict.ACCEPTED
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -80,9 +80,9 @@
     return packed
 
 
-def encode_tombstone() -> bytes:
-    """Encodes the record of a job that must not be stored any more."""
-    packed: bytes = msgpack.packb({'tombstone': True})
+def encode_tombstone(tombstone: Tombstone) -> bytes:
+    """Encodes the record of a job that was cancelled or refused before it was stored."""
+    packed: bytes = msgpack.packb({'tombstone': tombstone.cancelled})
     return packed
 
 
@@ -101,7 +101,7 @@
         if 'state' in fields:
             return _unpack_final_state(fields)
         if 'tombstone' in fields:
-            return Tombstone()
+            return Tombstone(*check_row('tombstone', [fields['tombstone']], (FLAG,)))
         return _unpack_submission(job_id, fields)
     except _DECODE_ERRORS as error:
         raise ValueError(
--- a/chiveworks/workflow/_tombstone.py
+++ b/chiveworks/workflow/_tombstone.py
@@ -9,4 +9,10 @@
 
     The write of a submission requires that the key of the job does not exist. While the
     tombstone is in the store, such a write that the store applies late has no effect.
+
+    Attributes:
+        cancelled: Whether a client cancelled the job. Otherwise the job was refused,
+            and a new submission may replace the tombstone.
     """
+
+    cancelled: bool
