Count a crash only if another incarnation of the worker shows it

Cause: the lapse of a lease counted as a crash of the worker against each run that was not known to have survived its start, and so did each run of an earlier term whose worker was missing, whatever its age. Three in a row ended the job. A lapse only shows that the worker was out of reach.

Ruled out: the end of the lasting task by a move, as the job had failed before.

Change: a crash counts when the worker responds with another start time, or another worker responds at its address. The suspects of a lapsed lease are kept for 30 s and count if that shows later; the return of the worker clears them. Claims name the address of the worker, so that the next leader can find this out for a worker that is no longer listed. If such a worker responds itself, its runs go on.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -201,7 +201,7 @@
 
     def _claim(self, task: Task, worker: WorkerView) -> None:
         self._placer.free_reservation(task)
-        task.claim(worker.worker_id, worker.born_ms)
+        task.claim(worker.worker_id, worker.born_ms, worker.info.address)
         worker.add(task)
         if task.crashes:
             self._placer.probation.begin(worker, task)
--- a/chiveworks/dispatch/_capacity_publisher.py
+++ b/chiveworks/dispatch/_capacity_publisher.py
@@ -78,8 +78,9 @@
         now = self._clock.monotonic()
         for worker_id, worker in self._workers.items():
             info = worker.info
-            shape = WorkerShape(info.capacity, info.labels)
-            self._history.observe(info.service, worker_id, shape)
+            if info.service:
+                shape = WorkerShape(info.capacity, info.labels)
+                self._history.observe(info.service, worker_id, shape)
         if self._began_at is None:
             self._began_at = now
         if now - self._began_at < SETTLE:
--- a/chiveworks/dispatch/_crash_suspicion.py
+++ b/chiveworks/dispatch/_crash_suspicion.py
@@ -1,16 +1,17 @@
 """Finds the tasks that crash the workers on which they start."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
-from chiveworks.base import WorkerId
+from chiveworks.base import Clock, WorkerId
 from chiveworks.dispatch._probation import has_survived
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Task
+from chiveworks.workflow import Task, TaskState
 
-#: Number of lost workers in a row after which a task is given up.
+#: Number of crashed workers in a row after which a task is given up.
 CRASH_LIMIT: Final = 3
 #: Share and number of workers lost at about the same time above which a common cause,
 #: such as a cut, is assumed. Both must be exceeded.
@@ -19,6 +20,21 @@
 #: Maximum time between two losses of contact with such a cause. A lost worker is noticed
 #: at its next poll, within about a second.
 COMMON_CAUSE_WINDOW: Final = timedelta(seconds=1)
+#: Time after the lapse of a lease within which the crash of the worker counts.
+LAPSE_MEMORY: Final = timedelta(seconds=30)
+
+
+@dataclass(frozen=True, slots=True)
+class LapsedRuns:
+    """Runs under which the lease of a worker has lapsed and which may have crashed it.
+
+    Attributes:
+        lapsed_at: When the lease lapsed.
+        runs: Tasks, each with the number of the run.
+    """
+
+    lapsed_at: timedelta
+    runs: Sequence[tuple[Task, int]]
 
 
 class CrashSuspicion:
@@ -29,53 +45,92 @@
     `Probation`, a task that only shared a worker is soon cleared.
 
     Args:
-        log: Event log for lost workers.
+        clock: Source of time.
+        log: Event log for crashed workers.
         workers: Workers by id.
     """
 
-    def __init__(self, log: EventLog, workers: Mapping[WorkerId, WorkerView]) -> None:
+    def __init__(
+        self, clock: Clock, log: EventLog, workers: Mapping[WorkerId, WorkerView]
+    ) -> None:
+        self._clock = clock
         self._log = log
+        self._lapsed: dict[WorkerId, LapsedRuns] = {}
         self._workers = workers
 
-    def record_loss(self, worker: WorkerView, lost: Sequence[Task]) -> None:
-        """Counts the loss of a worker against the suspects among its lost runs.
+    def record_crash(self, worker: WorkerView, lost: Sequence[Task]) -> list[Task]:
+        """Counts the crash of a worker against the suspects among its lost runs.
 
-        A worker that restarted has crashed; one whose lease lapsed may have been cut
-        off. The replacement of a worker that is draining is no crash, and many workers
-        that are lost together have a common cause.
+        Only another incarnation in its place shows that a worker has crashed: one whose
+        lease lapsed may have been cut off. The replacement of a worker that is draining
+        is no crash, and many workers that are lost together have a common cause.
+
+        Returns:
+            The suspects.
+        """
+        suspects = self._close(worker) + self._suspects(worker, lost)
+        for suspect in suspects:
+            suspect.crashes += 1
+        if lost or suspects:
+            self._log.write(
+                'worker_crashed',
+                worker=worker.worker_id,
+                runs=len(lost),
+                suspects=[(*each.ref, each.crashes) for each in suspects],
+            )
+        return suspects
+
+    def record_lapse(self, worker: WorkerView, lost: Sequence[Task]) -> None:
+        """Keeps the suspects among the runs under which the lease of a worker lapsed.
+
+        They count once it is known that the worker has crashed.
         """
-        if not lost:
-            return
-        suspects = [
+        suspects = self._suspects(worker, lost)
+        if suspects:
+            runs = [(task, task.attempt) for task in suspects]
+            self._lapsed[worker.worker_id] = LapsedRuns(self._clock.monotonic(), runs)
+
+    def record_return(self, worker: WorkerView) -> None:
+        """Clears the runs under which the lease of a worker that is back has lapsed."""
+        self._lapsed.pop(worker.worker_id, None)
+
+    def is_open(self, worker: WorkerView) -> bool:
+        """Whether it is to be found out if a worker whose lease lapsed has crashed."""
+        lapsed = self._lapsed.get(worker.worker_id)
+        if lapsed is None:
+            return False
+        if self._clock.monotonic() - lapsed.lapsed_at < LAPSE_MEMORY:
+            return True
+        self._lapsed.pop(worker.worker_id)
+        return False
+
+    def _suspects(self, worker: WorkerView, lost: Sequence[Task]) -> list[Task]:
+        if worker.info.draining or self._have_common_cause(self._lost_with(worker)):
+            return []
+        return [
             task
             for task in lost
             if task.sent
             # An earlier leader may have seen it survive, but that is not known.
             and (is_of_earlier_life(task, worker) or not has_survived(worker, task))
         ]
-        if worker.info.draining or self._have_common_cause(self._lost_with(worker)):
-            suspects.clear()
-        for suspect in suspects:
-            suspect.crashes += 1
-        self._log.write(
-            'worker_lost',
-            worker=worker.worker_id,
-            runs=len(lost),
-            suspects=[(*each.ref, each.crashes) for each in suspects],
-        )
 
-    def record_orphans(self, orphans: Sequence[Task], missing_count: int) -> None:
-        """Counts the workers that are gone at the start of a term, as for a loss.
+    def _close(self, worker: WorkerView) -> list[Task]:
+        """Returns the suspects of a lapse that no later run has cleared."""
+        lapsed = self._lapsed.pop(worker.worker_id, None)
+        if lapsed is None:
+            return []
+        return [
+            task for task, attempt in lapsed.runs if not self._is_cleared(task, attempt)
+        ]
 
-        Args:
-            orphans: Runs on such workers whose leases have just lapsed.
-            missing_count: Number of such workers, whether or not their leases have
-                lapsed.
-        """
-        if self._have_common_cause(missing_count):
-            return
-        for task in orphans:
-            task.crashes += 1
+    def _is_cleared(self, task: Task, attempt: int) -> bool:
+        if task.state is TaskState.DONE:
+            return True
+        worker = self._workers.get(task.worker) if task.worker else None
+        return (
+            worker is not None and task.attempt > attempt and has_survived(worker, task)
+        )
 
     def _lost_with(self, worker: WorkerView) -> int:
         """Returns how many workers were lost at about the same time as a worker.
--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -48,7 +48,6 @@
         self.workers: dict[WorkerId, WorkerView] = {}
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._orphans: dict[WorkerId, tuple[WorkerLease, list[Task]]] = {}
-        self._lapsed_count = 0
         self._open_controls: dict[WorkerId, AsyncExitStack] = {}
         self._clock = clock
         self._log = log
@@ -79,11 +78,6 @@
         if not worker.live:
             self.sessions[worker.worker_id].wake()
 
-    @property
-    def missing_count(self) -> int:
-        """Number of workers with adopted runs that have not appeared in this term."""
-        return len(self._orphans) + self._lapsed_count
-
     def adopt(self, task: Task) -> None:
         """Takes over a run from an earlier term.
 
@@ -111,9 +105,13 @@
         self._orphans[worker_id][1].append(task)
 
     def record_missing(self) -> None:
-        """Logs and records each worker that has adopted runs and is not listed."""
+        """Logs and records each worker that has adopted runs and is not listed.
+
+        A session is opened if its address is known: it may still respond, and another
+        incarnation there shows that it has crashed.
+        """
         now = self._clock.monotonic()
-        for worker_id, (lease, tasks) in self._orphans.items():
+        for worker_id, (lease, tasks) in tuple(self._orphans.items()):
             self._leases.freeze(worker_id)
             self._log.write(
                 'worker_missing',
@@ -121,6 +119,9 @@
                 runs=len(tasks),
                 lease_left_s=lease.time_left(now).total_seconds(),
             )
+            address = next(filter(None, (task.worker_address for task in tasks)), '')
+            if address:
+                self._add(WorkerInfo.unlisted(worker_id, address), listed=False)
 
     def lapsed_orphans(self) -> list[Task]:
         """Removes and returns adopted runs whose worker never appeared.
@@ -133,7 +134,6 @@
             for worker_id, (lease, _tasks) in self._orphans.items()
             if lease.lapsed(now)
         ]
-        self._lapsed_count += len(lapsed)
         return [
             task for worker_id in lapsed for task in self._orphans.pop(worker_id)[1]
         ]
@@ -169,13 +169,14 @@
             if (ended_at := task.step_run.job.ended_at) is not None
         ]
 
-    def _add(self, info: WorkerInfo) -> None:
+    def _add(self, info: WorkerInfo, *, listed: bool = True) -> None:
         lease, orphans = self._orphans.pop(info.worker_id, (None, ()))
         worker = WorkerView(
             info, self._open_control(info), lease or self._leases.open(info.worker_id)
         )
         # Tells a restart that an earlier leader has not seen.
         worker.born_ms = info.born_ms
+        worker.listed = listed
         for task in orphans:
             worker.add(task)
         session = self._open_session(worker)
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -75,30 +75,36 @@
         for task in tuple(worker.tasks.values()):
             self.release(worker, task, reason)
 
-    def record_loss(self, worker: WorkerView, lost: Sequence[Task]) -> None:
-        """Counts the loss of a worker against the tasks that may have crashed it.
+    def record_crash(self, worker: WorkerView, lost: Sequence[Task]) -> None:
+        """Counts the crash of a worker against the tasks that may have caused it.
 
         Call it before the lost runs are released.
         """
-        self._suspicion.record_loss(worker, lost)
-
-    def release_orphans(self, tasks: Sequence[Task], missing_count: int) -> None:
-        """Releases runs of an earlier term whose workers are gone.
+        for task in self._suspicion.record_crash(worker, lost):
+            self._give_up_if_exhausted(task)
 
-        Nothing is known of the workers, so their end may be a crash under these tasks.
+    def record_lapse(self, worker: WorkerView) -> None:
+        """Takes note that the lease of a worker has lapsed under its runs.
 
-        Args:
-            tasks: Runs whose workers' leases have just lapsed.
-            missing_count: Number of workers of earlier terms that are gone, whether or
-                not their leases have lapsed.
+        Call it before the lost runs are released.
         """
-        # An earlier run may have completed a task.
-        orphans = [task for task in tasks if task.active]
-        self._suspicion.record_orphans(orphans, missing_count)
-        for task in orphans:
-            self._log_lost(task, 'the worker of an earlier term is gone')
-            self._table.requeue(task)
-            self._give_up_if_exhausted(task)
+        self._suspicion.record_lapse(worker, tuple(worker.tasks.values()))
+
+    def record_return(self, worker: WorkerView) -> None:
+        """Takes note that a silent worker has not crashed."""
+        self._suspicion.record_return(worker)
+
+    def may_have_crashed(self, worker: WorkerView) -> bool:
+        """Whether the lease of a worker has lapsed under runs that may have crashed it."""
+        return self._suspicion.is_open(worker)
+
+    def release_orphans(self, tasks: Sequence[Task]) -> None:
+        """Releases runs of an earlier term whose workers' leases have just lapsed."""
+        for task in tasks:
+            # An earlier run may have completed the task.
+            if task.active:
+                self._log_lost(task, 'the worker of an earlier term is gone')
+                self._table.requeue(task)
 
     def release(self, worker: WorkerView, task: Task, reason: str) -> None:
         """Releases one run that certainly ended without a report, or never started."""
@@ -212,7 +218,7 @@
             if ref not in listed and _must_be_listed(task, polled_at)
         ]
         crashed = [task for task in missing if is_of_earlier_life(task, worker)]
-        self._suspicion.record_loss(worker, crashed)
+        self._suspicion.record_crash(worker, crashed)
         for task in missing:
             self.release(worker, task, 'not listed by the worker')
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -126,7 +126,7 @@
             self.table,
             self.writer,
             health,
-            CrashSuspicion(log, self.fleet.workers),
+            CrashSuspicion(clock, log, self.fleet.workers),
             self._wake.set,
             self.orders.stop,
             self.orders.withdraw,
@@ -346,8 +346,7 @@
             self._wake.set()
 
     def _check_leases(self) -> None:
-        lapsed = self.fleet.lapsed_orphans()
-        self.tracker.release_orphans(lapsed, self.fleet.missing_count)
+        self.tracker.release_orphans(self.fleet.lapsed_orphans())
         self.leases.check(self.fleet.unreached_leases())
 
     def _log_lag(self) -> None:
--- a/chiveworks/dispatch/_worker_info.py
+++ b/chiveworks/dispatch/_worker_info.py
@@ -12,7 +12,7 @@
 
     Attributes:
         worker_id: Id of the worker.
-        service: Service whose tasks the worker runs.
+        service: Service whose tasks the worker runs; empty when unknown.
         address: Host and port of the worker's interface.
         zone: Availability zone.
         draining: Whether the worker is about to leave.
@@ -37,3 +37,15 @@
     remaining: timedelta | None = None
     written_at: timedelta | None = None
     born_ms: int = 0
+
+    @classmethod
+    def unlisted(cls, worker_id: WorkerId, address: str) -> 'WorkerInfo':
+        """Returns what is known of a worker that is only named by its runs."""
+        return cls(
+            worker_id,
+            service='',
+            address=address,
+            zone=ZoneName(''),
+            draining=False,
+            capacity=Resources(0, 0),
+        )
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -28,6 +28,8 @@
 POLL_GAP: Final = timedelta(milliseconds=25)
 #: Pause after a failed poll.
 RETRY_PAUSE: Final = timedelta(milliseconds=200)
+#: Pause after a failed poll of an unlisted worker that has not responded in this term.
+UNREACHED_RETRY_PAUSE: Final = timedelta(milliseconds=500)
 #: Maximum wait before the next poll for the effects of ended runs to become durable.
 DURABLE_WAIT: Final = timedelta(milliseconds=300)
 
@@ -74,16 +76,19 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Polls the worker until it is no longer listed and runs nothing."""
+        """Polls the worker until it is no longer listed and runs nothing.
+
+        If its lease has lapsed, polls go on until it is known whether it has crashed.
+        """
         worker = self._worker
         wait = timedelta()
-        while worker.listed or worker.tasks:
+        while worker.listed or worker.tasks or self._tracker.may_have_crashed(worker):
             if await self._poll_contained(wait):
                 wait = await self._pause_after_report()
             else:
                 wait = timedelta()
                 self._check_lapse()
-                await self._pause(RETRY_PAUSE)
+                await self._pause(self._retry_pause())
 
     async def _poll_contained(self, wait: timedelta) -> bool:
         """Polls once; an unexpected error counts as silence of this worker only."""
@@ -110,7 +115,7 @@
             await self._handle_silence(str(result.err_value))
             return False
         if result.ok_value is None:
-            self._tracker.record_loss(worker, tuple(worker.tasks.values()))
+            self._tracker.record_crash(worker, tuple(worker.tasks.values()))
             self._tracker.release_all(
                 worker, 'another incarnation of the worker responded'
             )
@@ -128,6 +133,8 @@
         first = not worker.live or not worker.lease.known
         if worker.born_ms and report.born_ms and report.born_ms != worker.born_ms:
             self._handle_restart(report, now)
+        elif not worker.live:
+            self._tracker.record_return(worker)
         if report.born_ms:
             worker.born_ms = report.born_ms
         worker.lease.observe_clock(report.clock, now)
@@ -152,7 +159,7 @@
             for task in worker.tasks.values()
             if (task.ref, task.attempt) not in known
         ]
-        self._tracker.record_loss(worker, lost)
+        self._tracker.record_crash(worker, lost)
         for task in lost:
             if task.started_at is not None:
                 self._tracker.release(worker, task, 'the worker has restarted')
@@ -184,9 +191,13 @@
     def _check_lapse(self) -> None:
         worker = self._worker
         if worker.tasks and worker.lease.lapsed(self._clock.monotonic()):
-            self._tracker.record_loss(worker, tuple(worker.tasks.values()))
+            self._tracker.record_lapse(worker)
             self._tracker.release_all(worker, 'the lease of the worker has lapsed')
 
+    def _retry_pause(self) -> timedelta:
+        reached = self._worker.listed or self._worker.lease.known
+        return RETRY_PAUSE if reached else UNREACHED_RETRY_PAUSE
+
     async def _pause_after_report(self) -> timedelta:
         """Pauses before the next poll; returns how long that poll may wait."""
         await self._pause(self._load.stretch(POLL_GAP))
--- a/chiveworks/dispatch/tests/test_interruptions_that_are_no_crashes.py
+++ b/chiveworks/dispatch/tests/test_interruptions_that_are_no_crashes.py
@@ -66,6 +66,49 @@
     await _check_runs(fleet)
 
 
+async def _wait_for_start(fleet, start_count):
+    """Waits until the lasting task has been started for the given number of times."""
+    for _ in range(1500):
+        if len(fleet.deployment.starts()) == start_count:
+            return
+        await fleet.deployment.wait(0.01)
+    raise AssertionError(f'no start {start_count} within 15 s')
+
+
+@pytest.mark.parametrize('leaders_change', [False, True])
+@pytest.mark.parametrize('returns', [True, False], ids=['cut', 'gone'])
+async def test_leases_that_lapse_right_after_a_start_count_as_no_crashes(
+    fleet, returns, leaders_change
+):
+    """Guards against a job shown as failed whose runs have all ended `lapsed`: each of
+    its workers was cut off as the task started, and no worker crashed."""
+    for count in range(1, INTERRUPTION_COUNT + 1):
+        await _wait_for_start(fleet, count)
+        name = _worker(fleet)
+        runner = fleet.deployment.runners[name]
+        fleet.add_worker()
+        runner.reachable = False
+        if leaders_change:
+            fleet.deployment.spawn(fleet.replace_leader())
+        await fleet.deployment.wait(3)
+        fleet.deployment.store.remove(f'workers/{name}')
+        await _wait_for_start(fleet, count + 1)
+        if returns:
+            runner.reachable = True
+            fleet.deployment.change_worker(name)
+    await _check_runs(fleet)
+
+
+async def test_a_run_goes_on_if_its_worker_is_only_missing_from_the_list(fleet):
+    """Guards against a run that ends because the store removed the entry of its worker
+    before a change of leaders, although the worker responds."""
+    fleet.deployment.store.remove(f'workers/{_worker(fleet)}')
+    fleet.deployment.spawn(fleet.replace_leader())
+    await fleet.deployment.wait(20)
+    assert len(fleet.deployment.starts()) == 1
+    await _check_runs(fleet)
+
+
 @pytest.mark.parametrize('keeps_id', [True, False], ids=['same-id', 'new-id'])
 async def test_replacements_of_a_drained_worker_count_as_no_crashes(fleet, keeps_id):
     """Guards against a job that fails because its workers drained and were replaced,
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -183,7 +183,7 @@
         return key
     counts = (task.attempt, task.failures)
     run = (task.worker or '', task.checkpoint, task.crashes, task.worker_born_ms)
-    return (*key, *counts, *run)
+    return (*key, *counts, *run, task.worker_address if task.worker else '')
 
 
 def _unpack_task(task: Task, row: list[Any], state: int) -> None:
@@ -195,9 +195,12 @@
     task.failures = row[5]
     task.worker = WorkerId(row[6]) if row[6] else None
     task.checkpoint = row[7]
-    # Processes of an earlier version do not store these two.
+    # Processes of an earlier version do not store these.
     task.crashes = check_whole('crashes', row[8]) if len(row) > 8 else 0
     task.worker_born_ms = check_whole('born', row[9]) if len(row) > 9 else 0
+    task.worker_address = (
+        check_row('address', row[10:11], (TEXT,))[0] if len(row) > 10 else ''
+    )
     # The previous leader may have sent the start at any time after the claim.
     task.sent = task.active
 
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -51,10 +51,11 @@
         state: Current state.
         attempt: Number of the latest run, counted from 1; 0 before the first.
         failures: Number of runs that failed.
-        crashes: Number of workers in a row that were lost as the task started.
+        crashes: Number of workers in a row that crashed as the task started.
         worker: Worker of the claimed or current run.
         worker_born_ms: Start time of the worker's incarnation at the claim; 0 when
             unknown.
+        worker_address: Address of the worker at the claim; empty when unknown.
         checkpoint: Latest checkpoint; empty if there is none.
         started_at: When the start of the current run was confirmed.
         progress_percent: Progress last reported by the worker.
@@ -78,6 +79,7 @@
     crashes: int = 0
     worker: WorkerId | None = None
     worker_born_ms: int = 0
+    worker_address: str = ''
     checkpoint: str = ''
     started_at: timedelta | None = None
     progress_percent: int = 0
@@ -100,12 +102,15 @@
         """Whether the task occupies capacity on a worker."""
         return TaskState.CLAIMED <= self.state <= TaskState.STOPPING
 
-    def claim(self, worker: WorkerId, worker_born_ms: int = 0) -> None:
+    def claim(
+        self, worker: WorkerId, worker_born_ms: int = 0, worker_address: str = ''
+    ) -> None:
         """Assigns the next run to a worker, before its start is sent."""
         self.attempt = self.step_run.next_attempt(self)
         self.state = TaskState.CLAIMED
         self.worker = worker
         self.worker_born_ms = worker_born_ms
+        self.worker_address = worker_address
         self.sent = False
         self.started_at = None
         self.progress_percent = 0
--- a/chiveworks/workflow/tests/test_codec.py
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -77,7 +77,7 @@
             continue
         step = source.draw(st.integers(0, 3))
         if step:
-            task.claim(WorkerId('w'))
+            task.claim(WorkerId('w'), 1, 'host:1')
             task.failures = step
         if step == 2:
             task.step_run.finish(task)
@@ -126,4 +126,5 @@
 
 
 def _run_fields(task):
-    return task.attempt, task.failures, task.worker, task.checkpoint
+    address = task.worker_address if task.worker else ''
+    return task.attempt, task.failures, task.worker, task.checkpoint, address
