Close all idle connections that are as old as one without a response

Cause: a request that times out closes its own connection only. The next one takes another idle connection of the same time, so a process with several of them needs a timeout (0.3 to 0.8 s) for each. A submission is given up after 1 s.

Evidence: the new test opens four connections and silences them; before the change the requests after the first one fail, too.

Change: a timeout closes the idle connections that have not responded since the request was sent. Those that have are kept, which a second test holds: a slow response does not cost the others.

--- a/chiveworks/platform/_http_pool.py
+++ b/chiveworks/platform/_http_pool.py
@@ -102,9 +102,8 @@
             connection = await self._acquire(deadline)
         except _CONNECT_ERRORS as error:
             return Err(Failure.not_run(Step.CONNECT, self._peer, _describe(error)))
-        timer = DeadlineTimer(
-            deadline, partial(connection.close, 'no response in time')
-        )
+        sent_at = asyncio.get_running_loop().time()
+        timer = DeadlineTimer(deadline, partial(self._give_up, connection, sent_at))
         try:
             response = await connection.send(request)
         except ResponseLostError as error:
@@ -114,6 +113,19 @@
             self._release(connection)
         return check_status(response, step, self._peer, writes=writes)
 
+    def _give_up(self, connection: HttpConnection, sent_at: float) -> None:
+        """Closes a connection without a response, and the idle ones like it.
+
+        Something between the two ends may have lost track of all connections that were
+        open at the time, while new ones work. Those that have responded since are kept.
+        """
+        connection.close('no response in time')
+        kept = [idle for idle in self._idle if idle.released_at >= sent_at]
+        for suspect in self._idle:
+            if suspect not in kept:
+                suspect.close()
+        self._idle = kept
+
     async def _acquire(self, deadline: float) -> HttpConnection:
         loop = asyncio.get_running_loop()
         oldest = loop.time() - IDLE_TIMEOUT.total_seconds()
--- a/chiveworks/platform/tests/test_http_pool.py
+++ b/chiveworks/platform/tests/test_http_pool.py
@@ -22,6 +22,9 @@
         self._answer = answer
         self._writers = []
 
+    def open_connections(self):
+        return list(self._writers)
+
     def close(self):
         for writer in self._writers:
             writer.transport.abort()
@@ -59,6 +62,22 @@
     """Never answers."""
 
 
+class Answers:
+    """Answers late, but on some connections not at all from some moment on."""
+
+    def __init__(self):
+        self._silent = []
+
+    def silence(self, server, count=None):
+        """Silences the last `count` open connections, or all of them."""
+        writers = server.open_connections()
+        self._silent = writers if count is None else writers[-count:]
+
+    async def answer(self, writer):
+        if writer not in self._silent:
+            await answer_late(writer)
+
+
 @asynccontextmanager
 async def serving(answer, limit=4):
     server = Server(answer)
@@ -102,6 +121,33 @@
         assert server.connections == 3
 
 
+async def test_one_request_finds_out_that_all_connections_are_silent():
+    """Guards against one timeout after the other once all open connections have gone
+    silent for good: each further request took one of them although new ones work."""
+    server_answers = Answers()
+    async with serving(server_answers.answer) as (server, pool):
+        await asyncio.gather(*(get(pool, 2) for _ in range(4)))
+        server_answers.silence(server)
+        assert (await get(pool)).err_value.verdict is Verdict.OUTCOME_UNKNOWN
+        results = await asyncio.gather(*(get(pool) for _ in range(4)))
+        assert [result.is_ok() for result in results] == [True] * 4
+
+
+async def test_a_slow_response_does_not_close_connections_that_work():
+    """Guards against new connections for all requests because one has no response."""
+    server_answers = Answers()
+    async with serving(server_answers.answer) as (server, pool):
+        await asyncio.gather(*(get(pool, 2) for _ in range(2)))
+        server_answers.silence(server, count=1)
+        slow = asyncio.create_task(get(pool, 0.3))
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            assert (await get(pool)).is_ok()
+        assert (await slow).is_err()
+        assert (await get(pool)).is_ok()
+        assert server.connections == 2
+
+
 async def test_a_request_that_gets_no_connection_in_time_has_not_run():
     """Guards against an unknown outcome of a request that was never sent."""
     async with serving(stay_silent, limit=1) as (server, pool):
