Count a job as pending until a task of it has begun

Cause: a job counted as begun from the claim of its first task on, and nothing reset that when the run turned out not to have started; a new leader took any stored claim for a run, too.

Change: a job has begun when a worker has accepted a start, lists a run or reports an end of one. The progress of the job says so for the next leader. A leader that is killed before it writes the progress again leaves a count that is too high by such jobs until their worker is reached; one more write for each job was not worth that.

--- a/chiveworks/dispatch/_claim_outbox.py
+++ b/chiveworks/dispatch/_claim_outbox.py
@@ -23,7 +23,6 @@
     def add(self, task: Task) -> None:
         """Has a new claim written."""
         job = task.step_run.job
-        job.started = True
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
         self._writer.mark(job)
--- a/chiveworks/dispatch/_handover_record.py
+++ b/chiveworks/dispatch/_handover_record.py
@@ -55,7 +55,7 @@
     """Times relative to the moment of the record.
 
     Attributes:
-        job_ages: Time for which jobs without a claimed task have waited.
+        job_ages: Time for which jobs of which no task has begun have waited.
         quarantines: Quarantined workers.
         stalls: Runs without recent progress.
     """
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -193,7 +193,7 @@
         return lengths
 
     def pending(self) -> Counter[str]:
-        """Returns the number of open jobs without any claimed task yet, by queue."""
+        """Returns the number of open jobs of which no task has begun yet, by queue."""
         return Counter(
             job.queue.name
             for job in self.jobs.values()
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -153,6 +153,7 @@
     ) -> None:
         if outcome is OrderOutcome.ACCEPTED:
             task.state = TaskState.RUNNING
+            task.step_run.job.started = True
             task.started_at = self._clock.monotonic()
             task.progressed_at = task.started_at
             self._log_order('run_started', task, worker)
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -152,6 +152,7 @@
         job = None
         if task is not None:
             job = task.step_run.job
+            job.started = True
             self._end_run(worker, task, end)
         version = job.version if job else 0
         worker.unacknowledged.append((end.number, job, version))
@@ -237,6 +238,7 @@
 
 
 def _update(task: Task, row: RunRow, now: timedelta) -> None:
+    task.step_run.job.started = True
     if task.state is TaskState.CLAIMED:
         task.state = TaskState.RUNNING
     if task.started_at is None:
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -116,7 +116,7 @@
     async def pending(self, queue: str) -> int | None:
         """Returns the number of pending jobs in a queue; None if unknown.
 
-        A job is pending until one of its tasks is claimed or the job ends.
+        A job is pending until one of its tasks has begun or the job ends.
         """
         now = self._clock.monotonic()
         if self._counted_at is None or now - self._counted_at > COUNT_CACHE_TTL:
--- a/chiveworks/metastore/_keys.py
+++ b/chiveworks/metastore/_keys.py
@@ -21,7 +21,7 @@
 JOB_PREFIX: Final = 'chiveworks/jobs/'
 #: Progress of jobs that have not ended, one key per job.
 PROGRESS_PREFIX: Final = 'chiveworks/progress/'
-#: Number of pending jobs, of which no task has been claimed yet, by queue.
+#: Number of pending jobs, of which no task has begun yet, by queue.
 PENDING_KEY: Final = 'chiveworks/pending'
 #: Times until the leases of workers that are out of reach have lapsed, by worker.
 LEASES_KEY: Final = 'chiveworks/leases'
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -141,6 +141,7 @@
             'open': list(job.occurrences),
             'tasks': rows,
             'failed': job.state is JobState.FAILED,
+            'started': job.started,
         }
     )
     return packed
@@ -174,7 +175,9 @@
         job.refresh_ready(number)
     if fields['failed']:
         job.state = JobState.FAILED
-    job.started = bool(fields['tasks']) or job.next_occurrence > len(job.occurrences)
+    # Processes of an earlier version do not store whether a task has begun.
+    started = fields.get('started', bool(fields['tasks']))
+    job.started = check_row('started', [started], (FLAG,))[0]
 
 
 def _pack_task(task: Task) -> tuple[Any, ...]:
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -46,7 +46,7 @@
         deadline: When the job should be done, by its declared durations.
         expires_at: When a late completion no longer earns credit.
         remaining_work: Declared core-seconds of the tasks that are not done.
-        started: Whether any task has ever been claimed.
+        started: Whether a worker is known to have begun any task.
         ended_at: When the scheduler of this term learned of the job's end; None while
             the job is open.
     """
--- a/chiveworks/workflow/tests/test_codec.py
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -84,8 +84,10 @@
         if step == 3:
             task.checkpoint = 'c'
             task.release()
+    job.started = source.draw(st.booleans())
     restored = Job(submission, timedelta())
     restore_progress(restored, encode_progress(job))
+    assert restored.started == job.started
     assert _task_summaries(restored) == _task_summaries(job)
 
 
