Let the suspects of a gang share workers with its other members

Cause: the members on the crashed worker are suspects, which start only on workers without a claimed task. The other members are claimed first in the same round, so the suspects found no worker and the whole gang was undone, in each round anew.

Change: members of a suspect's own gang do not count for its probation. Starting them apart would tell nothing: a gang ends as a whole, and its job is given up whichever member crashes workers. A suspect still starts apart from all other tasks.

--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -102,11 +102,12 @@
                 return reserved_worker
         rate = self._rating(task, candidates)
         if task.crashes:
-            return self.probation.choose(
+            fitting = (
                 worker
                 for worker in candidates
                 if task.ref not in worker.tasks and rate(worker) is not None
             )
+            return self.probation.choose(task, fitting)
         rated = (
             (
                 rating - AVOIDED_PENALTY * (worker.worker_id in task.avoided_workers),
@@ -240,7 +241,7 @@
         def rate(worker: WorkerView) -> float | None:
             if not fits(worker, spec) or limit_reached(worker, run):
                 return None
-            if self.probation.covers(worker):
+            if self.probation.covers(worker, run):
                 return None
             if spec.fills:
                 return self._rate_filling(worker, spec, may_wait=may_wait)
@@ -272,8 +273,8 @@
         return (
             task.ref in worker.tasks
             or limit_reached(worker, task.step_run)
-            or self.probation.covers(worker)
-            or (task.crashes > 0 and not self.probation.takes_suspects(worker))
+            or self.probation.covers(worker, task.step_run)
+            or (task.crashes > 0 and not self.probation.takes(worker, task))
         )
 
     def _rate_serving(
--- a/chiveworks/dispatch/_probation.py
+++ b/chiveworks/dispatch/_probation.py
@@ -6,7 +6,7 @@
 
 from chiveworks.base import Clock, WorkerId
 from chiveworks.dispatch._worker_view import WorkerView
-from chiveworks.workflow import Task, TaskState
+from chiveworks.workflow import StepRun, Task, TaskState
 
 #: Age at which a run that its worker has survived is no suspect. A task that crashes its
 #: workers does so as it starts.
@@ -36,17 +36,22 @@
         """Closes the worker of a claimed suspect to other tasks."""
         self._suspects[worker.worker_id] = task
 
-    def covers(self, worker: WorkerView) -> bool:
-        """Whether a suspect has been claimed for a worker that may still crash it."""
+    def covers(self, worker: WorkerView, run: StepRun | None = None) -> bool:
+        """Whether a suspect has been claimed for a worker that may still crash it.
+
+        Args:
+            worker: Worker in question.
+            run: Step that is to start there; a gang may join a suspect of its own.
+        """
         task = self._suspects.get(worker.worker_id)
         if task is None:
             return False
         if worker.tasks.get(task.ref) is not task or has_survived(worker, task):
             self._suspects.pop(worker.worker_id)
             return False
-        return True
+        return run is None or not _is_gang_of(run, task)
 
-    def choose(self, workers: Iterable[WorkerView]) -> WorkerView | None:
+    def choose(self, suspect: Task, workers: Iterable[WorkerView]) -> WorkerView | None:
         """Returns the worker for a suspect on which a crash ends the fewest runs.
 
         Prefers workers that have run for a while: one that has just started may have
@@ -54,17 +59,24 @@
         """
         now = self._clock.now()
         return min(
-            filter(self.takes_suspects, workers),
+            (worker for worker in workers if self.takes(worker, suspect)),
             key=lambda worker: (_recently_started(worker, now), len(worker.tasks)),
             default=None,
         )
 
-    def takes_suspects(self, worker: WorkerView) -> bool:
-        """Whether no other task is about to start, or just has, on a worker."""
+    def takes(self, worker: WorkerView, suspect: Task) -> bool:
+        """Whether no other task is about to start, or just has, on a worker.
+
+        Members of the suspect's gang do not count: they end with it in any case, and a
+        gang may be wider than its service has workers.
+        """
         latest = self._clock.monotonic() - SETTLING_TIME
         return all(
-            task.state is not TaskState.CLAIMED
-            and (task.started_at is None or task.started_at <= latest)
+            _is_gang_of(suspect.step_run, task)
+            or (
+                task.state is not TaskState.CLAIMED
+                and (task.started_at is None or task.started_at <= latest)
+            )
             for task in worker.tasks.values()
         )
 
@@ -75,6 +87,11 @@
     return started_at is not None and worker.lease.observed_at - started_at >= PROBATION
 
 
+def _is_gang_of(run: StepRun, task: Task) -> bool:
+    """Whether a task is a member of a gang."""
+    return run.spec.gang and task.step_run is run
+
+
 def _recently_started(worker: WorkerView, now: datetime) -> bool:
     born_ms = max(worker.born_ms, worker.info.born_ms)
     return now < _EPOCH + timedelta(milliseconds=born_ms) + RECENT_START
--- a/chiveworks/dispatch/tests/test_tasks_that_crash_workers.py
+++ b/chiveworks/dispatch/tests/test_tasks_that_crash_workers.py
@@ -57,6 +57,20 @@
     await fleet.check_given_up('gang')
 
 
+async def test_a_gang_wider_than_its_service_runs_again_after_a_crash(fleet):
+    """Guards against a gang that never runs again because its suspects, which start
+    apart from other tasks, find each worker taken by its other members."""
+    await fleet.submit('gang', StepSpec(6, CORE, gang=True))
+    await fleet.deployment.wait(0.3)
+    name = next(iter(fleet.deployment.runners))
+    fleet.on_crash = lambda: fleet.break_gang('gang')
+    fleet.deployment.spawn(fleet.crash(name))
+    await fleet.deployment.wait(LONG_ENOUGH)
+    assert fleet.crash_count == 1
+    assert len(fleet.deployment.starts()) == 12
+    assert await fleet.deployment.state('gang') is JobState.COMPLETED
+
+
 async def test_a_later_step_that_crashes_workers_ends_its_job(fleet):
     """Guards against a job that stays open after a task of a later step was given up,
     and against starts of the steps after it."""
