Keep the suspicion of a lapsed lease across leaders

Cause: the suspects of a lapsed lease were known to one leader only.

Change: the progress of a job names the last lapsed run of a task while it is not known whether its worker crashed; the next leader asks at the worker's address. A crash that shows late is written at once, and runs that are released in the same step are given up there and not twice. A restart under the same id is told from a return by the start time of the claim.

JobCanceller writes both kinds of records through one method.

--- a/chiveworks/dispatch/_capacity_publisher.py
+++ b/chiveworks/dispatch/_capacity_publisher.py
@@ -78,6 +78,7 @@
         now = self._clock.monotonic()
         for worker_id, worker in self._workers.items():
             info = worker.info
+            # The service of a worker that this leader has not seen listed is unknown.
             if info.service:
                 shape = WorkerShape(info.capacity, info.labels)
                 self._history.observe(info.service, worker_id, shape)
--- a/chiveworks/dispatch/_crash_suspicion.py
+++ b/chiveworks/dispatch/_crash_suspicion.py
@@ -1,15 +1,15 @@
 """Finds the tasks that crash the workers on which they start."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
 from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._lapsed_lease import LapsedLease
 from chiveworks.dispatch._probation import has_survived
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Task, TaskState
+from chiveworks.workflow import LapsedRun, Task, TaskState
 
 #: Number of crashed workers in a row after which a task is given up.
 CRASH_LIMIT: Final = 3
@@ -24,19 +24,6 @@
 LAPSE_MEMORY: Final = timedelta(seconds=30)
 
 
-@dataclass(frozen=True, slots=True)
-class LapsedRuns:
-    """Runs under which the lease of a worker has lapsed and which may have crashed it.
-
-    Attributes:
-        lapsed_at: When the lease lapsed.
-        runs: Tasks, each with the number of the run.
-    """
-
-    lapsed_at: timedelta
-    runs: Sequence[tuple[Task, int]]
-
-
 class CrashSuspicion:
     """Counts for each task the crashes of workers shortly after it was started.
 
@@ -55,7 +42,7 @@
     ) -> None:
         self._clock = clock
         self._log = log
-        self._lapsed: dict[WorkerId, LapsedRuns] = {}
+        self._lapsed: dict[WorkerId, LapsedLease] = {}
         self._workers = workers
 
     def record_crash(self, worker: WorkerView, lost: Sequence[Task]) -> list[Task]:
@@ -68,7 +55,7 @@
         Returns:
             The suspects.
         """
-        suspects = self._close(worker) + self._suspects(worker, lost)
+        suspects = self._pop_lapsed(worker.worker_id) + self._suspects(worker, lost)
         for suspect in suspects:
             suspect.crashes += 1
         if lost or suspects:
@@ -85,23 +72,47 @@
 
         They count once it is known that the worker has crashed.
         """
-        suspects = self._suspects(worker, lost)
-        if suspects:
-            runs = [(task, task.attempt) for task in suspects]
-            self._lapsed[worker.worker_id] = LapsedRuns(self._clock.monotonic(), runs)
-
-    def record_return(self, worker: WorkerView) -> None:
-        """Clears the runs under which the lease of a worker that is back has lapsed."""
-        self._lapsed.pop(worker.worker_id, None)
-
-    def is_open(self, worker: WorkerView) -> bool:
-        """Whether it is to be found out if a worker whose lease lapsed has crashed."""
-        lapsed = self._lapsed.get(worker.worker_id)
-        if lapsed is None:
+        for task in self._suspects(worker, lost):
+            task.lapsed = LapsedRun(
+                worker.worker_id,
+                worker.info.address,
+                task.worker_born_ms,
+                task.attempt,
+            )
+            self.resume(task.lapsed, task)
+
+    def resume(self, lapsed: LapsedRun, task: Task) -> None:
+        """Takes note of a lapsed run, which an earlier leader may have stored."""
+        lease = LapsedLease(self._clock.monotonic(), [])
+        self._lapsed.setdefault(lapsed.worker, lease).suspects.append(task)
+
+    def record_return(self, worker: WorkerView, born_ms: int) -> list[Task]:
+        """Clears the suspects of a lapse, or counts a crash that the return shows.
+
+        Args:
+            worker: Worker that responds after a silence.
+            born_ms: Start time of the incarnation that responds; 0 when unknown.
+
+        Returns:
+            The suspects of a crash.
+        """
+        lease = self._lapsed.get(worker.worker_id)
+        if lease is None:
+            return []
+        earlier = {task.lapsed.born_ms for task in lease.suspects if task.lapsed}
+        if born_ms and not earlier & {0, born_ms}:
+            return self.record_crash(worker, ())
+        self._pop_lapsed(worker.worker_id)
+        return []
+
+    def is_unresolved(self, worker: WorkerView) -> bool:
+        """Whether a lapse is recent of which it is not known if it was a crash."""
+        lease = self._lapsed.get(worker.worker_id)
+        if lease is None:
             return False
-        if self._clock.monotonic() - lapsed.lapsed_at < LAPSE_MEMORY:
+        if self._clock.monotonic() - lease.lapsed_at < LAPSE_MEMORY:
             return True
-        self._lapsed.pop(worker.worker_id)
+        self._pop_lapsed(worker.worker_id)
         return False
 
     def _suspects(self, worker: WorkerView, lost: Sequence[Task]) -> list[Task]:
@@ -115,17 +126,20 @@
             and (is_of_earlier_life(task, worker) or not has_survived(worker, task))
         ]
 
-    def _close(self, worker: WorkerView) -> list[Task]:
-        """Returns the suspects of a lapse that no later run has cleared."""
-        lapsed = self._lapsed.pop(worker.worker_id, None)
-        if lapsed is None:
-            return []
-        return [
-            task for task, attempt in lapsed.runs if not self._is_cleared(task, attempt)
-        ]
+    def _pop_lapsed(self, worker_id: WorkerId) -> list[Task]:
+        """Forgets a lapse; returns the suspects that no later run has cleared."""
+        lease = self._lapsed.pop(worker_id, None)
+        suspects = []
+        for task in lease.suspects if lease else ():
+            lapsed = task.lapsed
+            if lapsed is not None and lapsed.worker == worker_id:
+                task.lapsed = None
+                if not self._is_cleared(task, lapsed.attempt):
+                    suspects.append(task)
+        return suspects
 
     def _is_cleared(self, task: Task, attempt: int) -> bool:
-        if task.state is TaskState.DONE:
+        if task.state is TaskState.DONE or task.step_run.job.state.terminal:
             return True
         worker = self._workers.get(task.worker) if task.worker else None
         return (
--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -14,7 +14,7 @@
 from chiveworks.dispatch._worker_session import WorkerSession
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import UNKNOWN_PACE, Task, TaskState
+from chiveworks.workflow import UNKNOWN_PACE, LapsedRun, Task, TaskState
 
 
 class Fleet:
@@ -48,6 +48,7 @@
         self.workers: dict[WorkerId, WorkerView] = {}
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._orphans: dict[WorkerId, tuple[WorkerLease, list[Task]]] = {}
+        self._lapsed: dict[WorkerId, str] = {}
         self._open_controls: dict[WorkerId, AsyncExitStack] = {}
         self._clock = clock
         self._log = log
@@ -104,6 +105,10 @@
             self._orphans[worker_id] = (self._leases.open(worker_id), [])
         self._orphans[worker_id][1].append(task)
 
+    def follow_lapsed(self, lapsed: LapsedRun) -> None:
+        """Has a worker asked whether it crashed before its lease lapsed."""
+        self._lapsed[lapsed.worker] = lapsed.address
+
     def record_missing(self) -> None:
         """Logs and records each worker that has adopted runs and is not listed.
 
@@ -120,8 +125,9 @@
                 lease_left_s=lease.time_left(now).total_seconds(),
             )
             address = next(filter(None, (task.worker_address for task in tasks)), '')
-            if address:
-                self._add(WorkerInfo.unlisted(worker_id, address), listed=False)
+            self._add_unlisted(worker_id, address)
+        for lapsed_id, address in self._lapsed.items():
+            self._add_unlisted(lapsed_id, address)
 
     def lapsed_orphans(self) -> list[Task]:
         """Removes and returns adopted runs whose worker never appeared.
@@ -184,6 +190,10 @@
         self.sessions[info.worker_id] = session
         self._spawn(self._run_session(worker, session))
 
+    def _add_unlisted(self, worker_id: WorkerId, address: str) -> None:
+        if address and worker_id not in self.workers:
+            self._add(WorkerInfo.unlisted(worker_id, address), listed=False)
+
     def _open_control(self, info: WorkerInfo) -> WorkerControl:
         control = self._connect(info)
         controls = self._open_controls.setdefault(info.worker_id, AsyncExitStack())
--- a/chiveworks/dispatch/_probation.py
+++ b/chiveworks/dispatch/_probation.py
@@ -88,7 +88,7 @@
 
 
 def _is_gang_of(run: StepRun, task: Task) -> bool:
-    """Whether a task is a member of a gang."""
+    """Whether a task is a member of the gang of a step."""
     return run.spec.gang and task.step_run is run
 
 
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -16,7 +16,7 @@
 from chiveworks.dispatch._worker_control import EndKind, EndRow, RunRow, WorkerReport
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import Task, TaskRef, TaskState
+from chiveworks.workflow import LapsedRun, Task, TaskRef, TaskState
 
 #: Maximum number of ended runs in a report. A report with fewer lists all of them.
 END_PAGE_SIZE = 500
@@ -80,8 +80,8 @@
 
         Call it before the lost runs are released.
         """
-        for task in self._suspicion.record_crash(worker, lost):
-            self._give_up_if_exhausted(task)
+        suspects = self._suspicion.record_crash(worker, lost)
+        self._note_suspects([task for task in suspects if task not in lost])
 
     def record_lapse(self, worker: WorkerView) -> None:
         """Takes note that the lease of a worker has lapsed under its runs.
@@ -90,13 +90,17 @@
         """
         self._suspicion.record_lapse(worker, tuple(worker.tasks.values()))
 
-    def record_return(self, worker: WorkerView) -> None:
-        """Takes note that a silent worker has not crashed."""
-        self._suspicion.record_return(worker)
+    def record_return(self, worker: WorkerView, born_ms: int) -> None:
+        """Takes note that an incarnation of a silent worker responds."""
+        self._note_suspects(self._suspicion.record_return(worker, born_ms))
+
+    def resume_lapse(self, lapsed: LapsedRun, task: Task) -> None:
+        """Goes on with a suspicion that an earlier leader has stored."""
+        self._suspicion.resume(lapsed, task)
 
     def may_have_crashed(self, worker: WorkerView) -> bool:
         """Whether the lease of a worker has lapsed under runs that may have crashed it."""
-        return self._suspicion.is_open(worker)
+        return self._suspicion.is_unresolved(worker)
 
     def release_orphans(self, tasks: Sequence[Task]) -> None:
         """Releases runs of an earlier term whose workers' leases have just lapsed."""
@@ -194,6 +198,12 @@
             self._health.record_failure(worker, task)
             self._give_up_if_exhausted(task)
 
+    def _note_suspects(self, suspects: Sequence[Task]) -> None:
+        """Stores the crashes that count against tasks whose runs were released before."""
+        for task in suspects:
+            self._writer.mark(task.step_run.job)
+            self._give_up_if_exhausted(task)
+
     def _give_up_if_exhausted(self, task: Task) -> None:
         if self._exhausted(task):
             self._table.fail(task.step_run.job, task)
@@ -219,7 +229,8 @@
             if ref not in listed and _must_be_listed(task, polled_at)
         ]
         crashed = [task for task in missing if is_of_earlier_life(task, worker)]
-        self._suspicion.record_crash(worker, crashed)
+        if crashed:
+            self._suspicion.record_crash(worker, crashed)
         for task in missing:
             self.release(worker, task, 'not listed by the worker')
 
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -56,8 +56,7 @@
 #: them to be 2 s old.
 PENDING_INTERVAL: Final = timedelta(milliseconds=700)
 #: Time for which a tombstone is kept. It must outlast the writes of submissions that
-#: the store may still apply, and be shorter than the time after which the client of a
-#: refused job should come back.
+#: the store may still apply, which it does within seconds.
 TOMBSTONE_RETENTION: Final = timedelta(seconds=30)
 #: Lag of the event loop from which the log names it.
 NOTABLE_LAG: Final = timedelta(milliseconds=50)
@@ -235,6 +234,10 @@
             for task in job.active_tasks():
                 self.fleet.adopt(task)
                 self.handover.resume_run(task)
+            for task in job.tasks():
+                if task.lapsed is not None:
+                    self.fleet.follow_lapsed(task.lapsed)
+                    self.tracker.resume_lapse(task.lapsed, task)
             self._reconcile_restored(job)
         elif submission.cancelled:
             self.table.cancel(job)
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -134,7 +134,7 @@
         if worker.born_ms and report.born_ms and report.born_ms != worker.born_ms:
             self._handle_restart(report, now)
         elif not worker.live:
-            self._tracker.record_return(worker)
+            self._tracker.record_return(worker, report.born_ms)
         if report.born_ms:
             worker.born_ms = report.born_ms
         worker.lease.observe_clock(report.clock, now)
--- a/chiveworks/dispatch/tests/test_crash_counts_across_leaders.py
+++ b/chiveworks/dispatch/tests/test_crash_counts_across_leaders.py
@@ -41,6 +41,16 @@
     await fleet.check_given_up('deadly')
 
 
+async def test_crashes_that_show_after_a_lapse_under_the_next_leader_count(fleet):
+    """Guards against crashes that count for nobody: the leader ended after the crash,
+    and the worker is back only after its lease has lapsed for the next one."""
+    fleet.on_crash = fleet.replace_leader
+    fleet.downtime = timedelta(seconds=9)
+    await fleet.submit('deadly', deadly=[(0, 0)])
+    await fleet.deployment.wait(LONG_ENOUGH)
+    await fleet.check_given_up('deadly')
+
+
 @pytest.mark.parametrize(
     ('begins_s', 'lasts_s'),
     [
--- a/chiveworks/intake/_job_canceller.py
+++ b/chiveworks/intake/_job_canceller.py
@@ -104,10 +104,8 @@
     async def _mark_cancelled(
         self, item: StoreItem, submission: Submission
     ) -> IntakeVerdict:
-        content = encode_submission(replace(submission, cancelled=True))
-        if await self._commit(
-            Transaction({item.key: item.revision}, {item.key: content})
-        ):
+        cancelled = encode_submission(replace(submission, cancelled=True))
+        if await self._replace(item, cancelled):
             return IntakeVerdict.ACCEPTED
         return IntakeVerdict.UNKNOWN
 
@@ -115,14 +113,13 @@
         """Writes a tombstone for a job that was not stored."""
         if self._tombstones.try_take(self._clock.monotonic()) is not None:
             return IntakeVerdict.THROTTLED
-        content = encode_tombstone(Tombstone(cancelled=True))
-        if await self._commit(
-            Transaction({item.key: item.revision}, {item.key: content})
-        ):
+        if await self._replace(item, encode_tombstone(Tombstone(cancelled=True))):
             return IntakeVerdict.NOT_FOUND
         return IntakeVerdict.UNKNOWN
 
-    async def _commit(self, transaction: Transaction) -> bool:
-        """Tells whether a transaction was certainly applied."""
-        result = await self._store.commit(transaction)
+    async def _replace(self, item: StoreItem, content: bytes) -> bool:
+        """Tells whether a record was certainly replaced by new content."""
+        result = await self._store.commit(
+            Transaction({item.key: item.revision}, {item.key: content})
+        )
         return not isinstance(result, Err) and isinstance(result.ok_value, Committed)
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -12,6 +12,7 @@
 )
 from chiveworks.workflow._job import Job, JobState
 from chiveworks.workflow._job_spec import JobSpec, Submission
+from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import MAX_STRETCH, QueuePolicy
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_run import StepRun
@@ -25,6 +26,7 @@
     'Job',
     'JobSpec',
     'JobState',
+    'LapsedRun',
     'QueuePolicy',
     'Recurrence',
     'StepRun',
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -8,6 +8,7 @@
 from chiveworks.base import JobId, RackName, Resources, WorkerId
 from chiveworks.workflow._job import Job, JobState
 from chiveworks.workflow._job_spec import JobSpec, Submission
+from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import QueuePolicy, check_stretch
 from chiveworks.workflow._record_checks import (
     FLAG,
@@ -41,6 +42,7 @@
 )
 _TASK_KEY_TYPES: Final = (INTEGER, INTEGER, INTEGER, INTEGER)
 _RUN_TYPES: Final = (*_TASK_KEY_TYPES, INTEGER, INTEGER, TEXT, TEXT)
+_LAPSED_TYPES: Final = (TEXT, TEXT, INTEGER, INTEGER)
 _EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
 
 
@@ -186,7 +188,12 @@
         return key
     counts = (task.attempt, task.failures)
     run = (task.worker or '', task.checkpoint, task.crashes, task.worker_born_ms)
-    return (*key, *counts, *run, task.worker_address if task.worker else '')
+    lapsed = task.lapsed
+    return (
+        *(*key, *counts, *run),
+        task.worker_address if task.worker else '',
+        lapsed and (lapsed.worker, lapsed.address, lapsed.born_ms, lapsed.attempt),
+    )
 
 
 def _unpack_task(task: Task, row: list[Any], state: int) -> None:
@@ -201,13 +208,23 @@
     # Processes of an earlier version do not store these.
     task.crashes = check_whole('crashes', row[8]) if len(row) > 8 else 0
     task.worker_born_ms = check_whole('born', row[9]) if len(row) > 9 else 0
-    task.worker_address = (
-        check_row('address', row[10:11], (TEXT,))[0] if len(row) > 10 else ''
-    )
+    task.worker_address = _unpack_address(row)
+    task.lapsed = _unpack_lapsed_run(row[11]) if len(row) > 11 else None
     # The previous leader may have sent the start at any time after the claim.
     task.sent = task.active
 
 
+def _unpack_address(row: list[Any]) -> str:
+    return str(check_row('address', row[10:11], (TEXT,))[0]) if len(row) > 10 else ''
+
+
+def _unpack_lapsed_run(row: object) -> LapsedRun | None:
+    if row is None:
+        return None
+    worker, address, born_ms, attempt = check_row('lapsed', row, _LAPSED_TYPES)
+    return LapsedRun(WorkerId(worker), address, born_ms, attempt)
+
+
 def _pack_step(step: StepSpec) -> list[Any]:
     return [
         step.count,
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from chiveworks.base import JobId, WorkerId
+from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._step_spec import StepSpec
 
 if TYPE_CHECKING:
@@ -52,6 +53,8 @@
         attempt: Number of the latest run, counted from 1; 0 before the first.
         failures: Number of runs that failed.
         crashes: Number of workers in a row that crashed as the task started.
+        lapsed: Latest run under which the lease of a worker lapsed, while it is not known
+            whether the worker crashed.
         worker: Worker of the claimed or current run.
         worker_born_ms: Start time of the worker's incarnation at the claim; 0 when
             unknown.
@@ -77,6 +80,7 @@
     attempt: int = 0
     failures: int = 0
     crashes: int = 0
+    lapsed: LapsedRun | None = None
     worker: WorkerId | None = None
     worker_born_ms: int = 0
     worker_address: str = ''
--- a/chiveworks/workflow/tests/test_codec.py
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -11,6 +11,7 @@
     Job,
     JobSpec,
     JobState,
+    LapsedRun,
     QueuePolicy,
     Recurrence,
     StepSpec,
@@ -84,6 +85,7 @@
         if step == 3:
             task.checkpoint = 'c'
             task.release()
+            task.lapsed = LapsedRun(WorkerId('w'), 'host:1', 1, task.attempt)
     job.started = source.draw(st.booleans())
     restored = Job(submission, timedelta())
     restore_progress(restored, encode_progress(job))
@@ -129,4 +131,11 @@
 
 def _run_fields(task):
     address = task.worker_address if task.worker else ''
-    return task.attempt, task.failures, task.worker, task.checkpoint, address
+    return (
+        task.attempt,
+        task.failures,
+        task.worker,
+        task.checkpoint,
+        address,
+        task.lapsed,
+    )
