--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -5,10 +5,9 @@
 
 import msgpack
 
-from chiveworks.base import JobId, RackName, Resources, WorkerId
+from chiveworks.base import JobId, RackName, Resources
 from chiveworks.workflow._job import Job, JobState
 from chiveworks.workflow._job_spec import JobSpec, Submission
-from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import QueuePolicy, check_stretch
 from chiveworks.workflow._record_checks import (
     FLAG,
@@ -21,7 +20,8 @@
 )
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_spec import StepSpec
-from chiveworks.workflow._task import Task, TaskState
+from chiveworks.workflow._task import TaskState
+from chiveworks.workflow._task_rows import TASK_KEY_TYPES, pack_task, unpack_task
 from chiveworks.workflow._tombstone import Tombstone
 
 _MILLISECOND: Final = timedelta(milliseconds=1)
@@ -40,9 +40,6 @@
     *(LIST, FLAG, FLAG, FLAG, TEXT, TEXT, INTEGER, FLAG, FLAG, TEXT),
     *(REAL, FLAG, INTEGER),
 )
-_TASK_KEY_TYPES: Final = (INTEGER, INTEGER, INTEGER, INTEGER)
-_RUN_TYPES: Final = (*_TASK_KEY_TYPES, INTEGER, INTEGER, TEXT, TEXT)
-_LAPSED_TYPES: Final = (TEXT, TEXT, INTEGER, INTEGER)
 _EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
 
 
@@ -133,7 +130,7 @@
 def encode_progress(job: Job) -> bytes:
     """Encodes the progress of a job: one row for each task that was ever claimed."""
     rows = [
-        _pack_task(task)
+        pack_task(task)
         for task in job.tasks()
         if task.attempt or task.state is TaskState.DONE
     ]
@@ -169,8 +166,8 @@
         job.open_occurrence(check_whole('open', number, following))
     job.next_occurrence = following
     for row in check_row('tasks', fields['tasks'], ()):
-        occurrence, step, position, state = check_row('task', row, _TASK_KEY_TYPES)[:4]
-        _unpack_task(job.occurrences[occurrence][step].tasks[position], row, state)
+        occurrence, step, position, state = check_row('task', row, TASK_KEY_TYPES)[:4]
+        unpack_task(job.occurrences[occurrence][step].tasks[position], row, state)
     for number, runs in job.occurrences.items():
         for run in runs:
             run.done_count = sum(task.state is TaskState.DONE for task in run.tasks)
@@ -182,49 +179,6 @@
     job.started = check_row('started', [started], (FLAG,))[0]
 
 
-def _pack_task(task: Task) -> tuple[Any, ...]:
-    key = (*task.ref[1:], task.state.value)
-    if task.state is TaskState.DONE:
-        return key
-    counts = (task.attempt, task.failures)
-    run = (task.worker or '', task.checkpoint, task.crashes, task.worker_born_ms)
-    lapsed = task.lapsed
-    return (
-        *(*key, *counts, *run),
-        task.worker_address if task.worker else '',
-        lapsed and (lapsed.worker, lapsed.address, lapsed.born_ms, lapsed.attempt),
-    )
-
-
-def _unpack_task(task: Task, row: list[Any], state: int) -> None:
-    task.state = TaskState(state)
-    if task.state is TaskState.DONE:
-        return
-    check_row('run', row, _RUN_TYPES)
-    task.attempt = row[4]
-    task.failures = row[5]
-    task.worker = WorkerId(row[6]) if row[6] else None
-    task.checkpoint = row[7]
-    # Processes of an earlier version do not store these.
-    task.crashes = check_whole('crashes', row[8]) if len(row) > 8 else 0
-    task.worker_born_ms = check_whole('born', row[9]) if len(row) > 9 else 0
-    task.worker_address = _unpack_address(row)
-    task.lapsed = _unpack_lapsed_run(row[11]) if len(row) > 11 else None
-    # The previous leader may have sent the start at any time after the claim.
-    task.sent = task.active
-
-
-def _unpack_address(row: list[Any]) -> str:
-    return str(check_row('address', row[10:11], (TEXT,))[0]) if len(row) > 10 else ''
-
-
-def _unpack_lapsed_run(row: object) -> LapsedRun | None:
-    if row is None:
-        return None
-    worker, address, born_ms, attempt = check_row('lapsed', row, _LAPSED_TYPES)
-    return LapsedRun(WorkerId(worker), address, born_ms, attempt)
-
-
 def _pack_step(step: StepSpec) -> list[Any]:
     return [
         step.count,
