Log with which leases a term begins

What operators saw: after a change of the leader the log names the time left of the lease of each worker that is not listed, but not whether a record of the last term was used, how many workers it named, or how long it made the term wait.

Change: leases_inherited names the term of the record, the number of workers in it and the longest time left; leases_outdated and entry_skipped already name the other cases.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -91,6 +91,13 @@
         }
         self._frozen.update(self._inherited)
         self._recovering.update(self._inherited)
+        longest = max(times_left.values(), default=timedelta())
+        self._log.write(
+            'leases_inherited',
+            token=token,
+            workers=len(times_left),
+            longest_left_s=longest.total_seconds(),
+        )
         return True
 
     async def confirm(self) -> None:
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -1,5 +1,6 @@
 """Tests when leases may be extended while a record of them is stored."""
 
+import json
 from datetime import timedelta
 
 import pytest
@@ -138,6 +139,15 @@
     assert leader.handover.open(WORKER).time_left(now) > LEASE_LIMIT
 
 
+def test_the_log_names_the_inherited_leases(capfd):
+    """Guards against a wait of which the log does not tell whether it began anew."""
+    _Leader({WORKER: LEFT})
+    (line,) = capfd.readouterr().out.splitlines()
+    written = json.loads(line)
+    assert written['event'] == 'leases_inherited'
+    assert (written['token'], written['workers'], written['longest_left_s']) == (1, 1, 2)
+
+
 def test_a_recorded_time_is_that_until_the_lease_has_lapsed(leader):
     """Guards against a record that is shorter than the lease, or is not renewed."""
     assert leader.extends()
