Keep the time left of leases across terms

Cause: a term's first record named only workers that an earlier term had recorded. Those with runs that the term had not reached yet were in no record, although their leases run at most for a whole lease from the end of the last term that could extend them. Each term that ended before it had lost them itself, for a second, made the next one count a whole lease anew. Besides, recorded times were counted from the read, so each killed leader added the time without a leader.

Change: the first record of a term gives a time for all workers, taken from the record before it, or a whole lease from when the term after the last writer was seen. No lease is extended in full until a record is stored that names just the workers with runs that have not responded. A record names its term and the term's age; a process that saw that term begin counts from there instead of from its read. Leases are read before progress, so that the first write comes first in the recovery.

Why it is safe: every time in a record is given as long as the lease can only be extended briefly, and counted from no earlier than the write; terms of earlier versions cannot read the record and then extend nothing before their own, and their records are read as giving no time for other workers.

Changed tests: the interface of LeaseHandover (inherit takes the history, record_missing is record_unreached, freeze has become end_recovery). The stand-in for a version without lease records now really extends leases in full and writes no record; before it still wrote one.

--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -109,15 +109,16 @@
         """Has a worker asked whether it crashed before its lease lapsed."""
         self._lapsed[lapsed.worker] = lapsed.address
 
-    def record_missing(self) -> None:
-        """Logs and records each worker that has adopted runs and is not listed.
+    def record_unreached(self) -> None:
+        """Records all workers with adopted runs once the state is restored.
 
-        A session is opened if its address is known: it may still respond, and another
-        incarnation there shows that it has crashed.
+        Those that are not listed are logged. A session is opened if the address is
+        known: the worker may still respond, and another incarnation there shows that it
+        has crashed.
         """
+        self._leases.end_recovery(self.unreached_leases())
         now = self._clock.monotonic()
         for worker_id, (lease, tasks) in tuple(self._orphans.items()):
-            self._leases.freeze(worker_id)
             self._log.write(
                 'worker_missing',
                 worker=worker_id,
--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -169,8 +169,8 @@
     ) -> list[Coroutine[Any, Any, None]]:
         """Restores the stored state; returns coroutines that follow later changes."""
         started_at = self._clock.monotonic()
-        progress = await self._read_progress(term)
         await self._inherit_leases(term, scheduler)
+        progress = await self._read_progress(term)
         waits = await self._store.read(HANDOVER_KEY)
         if not isinstance(waits, Err) and waits.ok_value.content:
             scheduler.handover.inherit(waits.ok_value.content)
@@ -212,7 +212,7 @@
             runs_stopping=states.count(TaskState.STOPPING),
             took_s=took.total_seconds(),
         )
-        scheduler.fleet.record_missing()
+        scheduler.fleet.record_unreached()
         return [workers.run(), jobs.run()]
 
     def _load_model(self, scheduler: Scheduler, stored: bytes) -> None:
@@ -226,11 +226,10 @@
         while term.valid:
             result = await self._store.read(LEASES_KEY)
             if not isinstance(result, Err):
-                stored = result.ok_value.content
-                may_extend = stored is None or scheduler.leases.inherit(stored)
+                scheduler.leases.inherit(
+                    result.ok_value.content, self._election.history
+                )
                 scheduler.begin_writing()
-                while term.valid and not (may_extend or scheduler.leases.confirmed):
-                    await self._clock.sleep(RECOVERY_RETRY_PAUSE)
                 return
             await self._clock.sleep(RECOVERY_RETRY_PAUSE)
 
--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -1,4 +1,4 @@
-"""Hands the leases of workers that are out of reach over to the next leader."""
+"""Hands the leases of workers over to the next leader."""
 
 from collections.abc import Mapping
 from datetime import timedelta
@@ -7,11 +7,16 @@
 from weakref import WeakValueDictionary
 
 from chiveworks.base import Clock, WorkerId
-from chiveworks.dispatch._lease_record import decode_leases, encode_leases
+from chiveworks.dispatch._lease_record import LeaseRecord, decode_leases
 from chiveworks.dispatch._progress_writer import ProgressWriter
-from chiveworks.dispatch._worker_lease import BRIEF_LAPSE, WorkerLease
+from chiveworks.dispatch._worker_lease import (
+    BRIEF_LAPSE,
+    CLOCK_DRIFT,
+    WorkerLease,
+    time_to_lapse,
+)
 from chiveworks.events import EventLog
-from chiveworks.metastore import LEASES_KEY, Term
+from chiveworks.metastore import LEASES_KEY, Term, TermHistory
 
 #: Time for which a worker has to be out of reach before it is recorded. A short loss of
 #: contact then does not freeze its lease.
@@ -24,27 +29,28 @@
     """Stores how long the leases of workers that are out of reach still run.
 
     Without the record, each new leader would have to assume that the lease of a worker
-    that it cannot reach was extended just before its term. The stored times are relative
-    to the write. A leader counts them from its read, so it waits for too long if
-    anything, but not for a whole lease. While a worker is in the stored record, its lease
-    is frozen: it is extended only briefly, and if it has not lapsed, the record gives at
-    least the time that such an extension takes. The runs of a worker that responds again
-    thus go on although the store refuses the record without it.
+    that it cannot reach was extended just before its term. The record gives a time left
+    for each worker that is named in it, and while the term restores its state also one
+    for all others. A reader counts the times from its read, or from when it saw the term
+    of the record begin if that is earlier, so that the time without a leader counts.
+
+    The lease of a worker is frozen while the stored record gives a time for it: it is
+    extended only briefly, and if it has not lapsed, the record gives at least the time
+    that such an extension takes. The runs of a worker that responds thus go on although
+    the store refuses a record without it.
 
     Only the record of the last term that has written counts: a later term may have
-    extended any lease. The first write of a term is therefore its record. Until then it
-    freezes the leases in the record of another term, which thus stays valid if it ends
-    earlier. A term that cannot read that record must not extend any lease before.
+    extended any lease. The first write of a term is therefore its record. It gives times
+    for all workers, so that the term extends leases only briefly until a record is
+    stored that names just the workers that have runs and have not been reached. A term
+    that ends earlier does not make the next one wait anew.
 
     Args:
         term: Leadership term that writes the record.
         clock: Source of time.
-        log: Event log for a record that cannot be read.
+        log: Event log for the inherited record.
         writer: Writes the record.
         lease_limit: Longest lease that a worker grants.
-
-    Attributes:
-        confirmed: Whether the first record of the term is stored.
     """
 
     def __init__(
@@ -60,82 +66,94 @@
         self._log = log
         self._writer = writer
         self._lease_limit = lease_limit
+        # When the leases that an earlier term may have extended have certainly lapsed.
         self._inherited: dict[WorkerId, timedelta] = {}
-        self._recovering: dict[WorkerId, timedelta] = {}
+        self._default_lapses_at = clock.monotonic() + time_to_lapse(lease_limit)
         self._leases: WeakValueDictionary[WorkerId, WorkerLease] = WeakValueDictionary()
-        # Workers that a stored record may contain, and those in the latest record.
+        # Whether the stored record may give a time for workers that it does not name.
+        self._all_frozen = True
+        # Workers that a stored record may name, and those in the latest record.
         self._frozen: set[WorkerId] = set()
         self._recorded: set[WorkerId] | None = None
-        self.confirmed = False
         self._recorded_at = timedelta()
+        self._recovering = True
+        self._opened: set[WorkerId] = set()
 
-    def inherit(self, stored: bytes) -> bool:
-        """Takes over the record of the previous leader, which has just been read.
+    def inherit(self, stored: bytes | None, history: TermHistory) -> None:
+        """Takes over the record of an earlier leader.
 
-        Returns:
-            Whether leases may be extended before `confirm` has ended.
+        Args:
+            stored: Record that has just been read; None if there is none.
+            history: Times at which this process has seen earlier terms.
         """
         now = self._clock.monotonic()
+        self._default_lapses_at = now + time_to_lapse(self._lease_limit)
+        if stored is None:
+            return
         try:
-            token, times_left = decode_leases(stored)
+            record = decode_leases(stored)
         except ValueError as error:
             self._log.write('entry_skipped', key=LEASES_KEY, reason=str(error))
-            return False
-        if token != self._term.previous_token:
-            self._log.write('leases_outdated', token=token)
-            return True
+            return
+        if record.token != self._term.previous_token:
+            self._log.write('leases_outdated', token=record.token)
+            return
         self._inherited = {
-            # The record may be that of an earlier version, without brief extensions.
-            worker_id: now + _with_brief_extension(left)
-            for worker_id, left in times_left.items()
+            worker_id: _lapses_at(record, left, now, history)
+            for worker_id, left in record.times_left.items()
         }
-        self._frozen.update(self._inherited)
-        self._recovering.update(self._inherited)
-        longest = max(times_left.values(), default=timedelta())
-        self._log.write(
-            'leases_inherited',
-            token=token,
-            workers=len(times_left),
-            longest_left_s=longest.total_seconds(),
-        )
-        return True
+        if record.default_left is None:
+            # A later term that has not written has extended leases only briefly.
+            ended_at = history.succeeded_at(record.leader_value) or now
+            lapses_at = ended_at + time_to_lapse(self._lease_limit)
+            self._default_lapses_at = max(lapses_at, now + BRIEF_LAPSE)
+        else:
+            self._default_lapses_at = _lapses_at(
+                record, record.default_left, now, history
+            )
+        self._log_inherited(record, now)
 
     async def confirm(self) -> None:
-        """Stores the inherited record as that of this term, as its first write.
+        """Stores the inherited times as the record of this term, as its first write.
 
         Raises:
             TermLostError: The term ended before the record was confirmed.
         """
         now = self._clock.monotonic()
-        lost = self._recovering_times(now)
-        self._recorded = set(lost)
         self._recorded_at = now
-        await self._term.write({LEASES_KEY: self._encode(lost)})
-        self.confirmed = True
+        await self._term.write({LEASES_KEY: self._encode_inherited(now)})
 
     def refresh(self) -> None:
-        """Renews the stored times while the state is being recovered."""
+        """Renews the stored times while the state is being restored."""
         now = self._clock.monotonic()
         if self._recovering and now - self._recorded_at >= RECORD_INTERVAL:
-            self._write(self._recovering_times(now), now)
+            self._recorded_at = now
+            self._writer.put(LEASES_KEY, self._encode_inherited(now))
 
     def open(self, worker_id: WorkerId) -> WorkerLease:
         """Returns the lease of a worker that this leader has not extended yet."""
-        lease = WorkerLease(
-            self._lease_limit,
-            self._clock.monotonic(),
-            self._inherited.pop(worker_id, None),
+        # This leader may have extended a lease that it opens again.
+        lapses_at = (
+            None
+            if worker_id in self._opened
+            else self._inherited.get(worker_id, self._default_lapses_at)
         )
-        lease.frozen = worker_id in self._frozen
+        lease = WorkerLease(self._lease_limit, self._clock.monotonic(), lapses_at)
+        self._opened.add(worker_id)
+        lease.frozen = self._all_frozen or worker_id in self._frozen
         self._leases[worker_id] = lease
         return lease
 
-    def freeze(self, worker_id: WorkerId) -> None:
-        """Records a worker at once; call it for a worker that is known to be gone."""
-        self._set_frozen(worker_id, frozen=True)
-        # A record that is being stored does not unfreeze it.
-        self._recorded = {*(self._recorded or ()), worker_id}
-        self._recorded_at = self._clock.monotonic() - RECORD_INTERVAL
+    def end_recovery(self, unreached: Mapping[WorkerId, WorkerLease]) -> None:
+        """Writes the first record that gives no time for the workers it does not name.
+
+        Args:
+            unreached: Leases of the workers that have runs and are out of reach.
+        """
+        self._recovering = False
+        now = self._clock.monotonic()
+        self._log.write('leases_recorded', workers=len(unreached))
+        self._write(_times_left(unreached, now), now)
 
     def check(self, unreached: Mapping[WorkerId, WorkerLease]) -> None:
         """Writes the record if it has changed, or if it is due.
@@ -145,7 +163,7 @@
         """
         now = self._clock.monotonic()
         lost = {
-            worker_id: lease.time_left(now)
+            worker_id: lease
             for worker_id, lease in unreached.items()
             if lease.frozen or now - lease.observed_at >= RECORD_AFTER
         }
@@ -154,41 +172,51 @@
             self._log.write('leases_recorded', workers=len(lost))
             is_due = True
         if is_due:
-            self._write(lost, now)
+            self._write(_times_left(lost, now), now)
 
-    def _recovering_times(self, now: timedelta) -> dict[WorkerId, timedelta]:
+    def _encode_inherited(self, now: timedelta) -> bytes:
         # Workers that have been reached may have been extended briefly since.
-        opened = {
-            worker_id: self._leases.get(worker_id) for worker_id in self._recovering
-        }
-        return {
-            worker_id: lease.time_left(now)
-            if lease
-            else self._recovering[worker_id] - now
-            for worker_id, lease in opened.items()
+        times_left = {
+            worker_id: lapses_at - now
+            for worker_id, lapses_at in self._inherited.items()
         }
+        times_left.update(_times_left(self._leases, now))
+        return self._encode(times_left, now, self._default_lapses_at - now)
 
-    def _encode(self, lost: Mapping[WorkerId, timedelta]) -> bytes:
-        times = {
-            worker_id: _with_brief_extension(left) for worker_id, left in lost.items()
-        }
-        return encode_leases(self._term.token, times)
+    def _encode(
+        self,
+        times_left: Mapping[WorkerId, timedelta],
+        now: timedelta,
+        default_left: timedelta | None = None,
+    ) -> bytes:
+        record = LeaseRecord(
+            self._term.token,
+            {
+                worker_id: _with_brief_extension(left)
+                for worker_id, left in times_left.items()
+            },
+            None if default_left is None else _with_brief_extension(default_left),
+            self._term.leader_value,
+            now - self._term.acquired_at,
+        )
+        return record.encode()
 
-    def _write(self, lost: Mapping[WorkerId, timedelta], now: timedelta) -> None:
-        self._recorded = set(lost)
+    def _write(self, times_left: Mapping[WorkerId, timedelta], now: timedelta) -> None:
+        self._recorded = set(times_left)
         self._recorded_at = now
-        for worker_id in lost:
+        for worker_id in times_left:
             self._set_frozen(worker_id, frozen=True)
         self._writer.put(
             LEASES_KEY,
-            self._encode(lost),
-            partial(self._on_stored, frozenset(lost)),
+            self._encode(times_left, now),
+            partial(self._on_stored, frozenset(times_left)),
         )
 
     def _on_stored(self, stored: frozenset[WorkerId]) -> None:
         """Allows extensions for the workers that the stored record no longer names."""
+        self._all_frozen = False
         still_frozen = stored | (self._recorded or set())
-        for worker_id in self._frozen - still_frozen:
+        for worker_id in {*self._frozen, *self._leases} - still_frozen:
             self._set_frozen(worker_id, frozen=False)
 
     def _set_frozen(self, worker_id: WorkerId, *, frozen: bool) -> None:
@@ -200,6 +228,39 @@
         if lease is not None:
             lease.frozen = frozen
 
+    def _log_inherited(self, record: LeaseRecord, now: timedelta) -> None:
+        longest = max(self._inherited.values(), default=now) - now
+        self._log.write(
+            'leases_inherited',
+            token=record.token,
+            workers=len(self._inherited),
+            longest_left_s=longest.total_seconds(),
+            default_left_s=(self._default_lapses_at - now).total_seconds(),
+            default_recorded=record.default_left is not None,
+        )
+
+
+def _lapses_at(
+    record: LeaseRecord, left: timedelta, now: timedelta, history: TermHistory
+) -> timedelta:
+    """Returns when a lease with a recorded time left has certainly lapsed."""
+    if not left:
+        return now
+    lapses_at = now + left
+    begun_at = history.seen_at(record.leader_value)
+    if begun_at is not None:
+        # The clocks of the two processes may differ in speed.
+        age = record.term_age / (1 - CLOCK_DRIFT)
+        lapses_at = min(lapses_at, begun_at + age + left)
+    # A later term that has not written may have extended the lease briefly.
+    return max(lapses_at, now + BRIEF_LAPSE)
+
+
+def _times_left(
+    leases: Mapping[WorkerId, WorkerLease], now: timedelta
+) -> dict[WorkerId, timedelta]:
+    return {worker_id: lease.time_left(now) for worker_id, lease in leases.items()}
+
 
 def _with_brief_extension(left: timedelta) -> timedelta:
     """Returns the time within which a lease lapses even if it is extended briefly.
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -13,6 +13,11 @@
 BRIEF_LAPSE: Final = BRIEF_EXTENSION / (1 - CLOCK_DRIFT) + LAPSE_SLACK
 
 
+def time_to_lapse(length: timedelta) -> timedelta:
+    """Returns the time after which a lease of the given length has certainly lapsed."""
+    return length / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+
+
 class WorkerLease:
     """Estimate of a worker's clock and of the end of its lease.
 
@@ -36,7 +41,7 @@
         self.lost_at: timedelta | None = None
         self._limit = limit
         if lapses_at is None:
-            lapses_at = now + limit / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+            lapses_at = now + time_to_lapse(limit)
         self._lapses_at = lapses_at
         self._clock: timedelta | None = None
         self._observed_at = now
@@ -104,6 +109,6 @@
         end = self._clock + (now - self._observed_at) + length
         self._highest_end = max(self._highest_end, end)
         left = self._highest_end - self._clock
-        lapses_at = self._observed_at + left / (1 - CLOCK_DRIFT) + LAPSE_SLACK
+        lapses_at = self._observed_at + time_to_lapse(left)
         self._lapses_at = max(self._lapses_at, lapses_at)
         return end
--- a/chiveworks/dispatch/tests/test_closed_controls.py
+++ b/chiveworks/dispatch/tests/test_closed_controls.py
@@ -92,7 +92,7 @@
         def fail():
             raise RuntimeError('recovery failed')
 
-        scheduler.fleet.record_missing = fail
+        scheduler.fleet.record_unreached = fail
         return scheduler
 
     leader._create_scheduler = create_failing
--- a/chiveworks/dispatch/tests/test_handed_over_leases.py
+++ b/chiveworks/dispatch/tests/test_handed_over_leases.py
@@ -143,9 +143,23 @@
 
 
 def ignore_leases(scheduler):
-    """Makes a scheduler one of the version before the leases were handed over."""
-    scheduler.leases.inherit = lambda _stored: None
-    scheduler.leases.check = lambda _unreached: None
+    """Makes a scheduler one of the version before the leases were handed over.
+
+    It writes, but no record of leases, and extends all leases in full.
+    """
+    leases = scheduler.leases
+    open_lease = leases.open
+
+    def open_unfrozen(worker_id):
+        lease = open_lease(worker_id)
+        lease.frozen = False
+        return lease
+
+    leases.inherit = lambda _stored, _history: None
+    leases.confirm = lambda: leases._term.write({})
+    leases.open = open_unfrozen
+    leases.end_recovery = lambda _unreached: None
+    leases.check = lambda _unreached: None
 
 
 async def test_a_leader_of_an_earlier_version_in_between_causes_no_second_run(linked):
@@ -175,7 +189,7 @@
 
     def fail_to_read(scheduler):
         inherit = scheduler.leases.inherit
-        scheduler.leases.inherit = lambda _stored: inherit(b'\xc1')
+        scheduler.leases.inherit = lambda _stored, history: inherit(b'\xc1', history)
 
     second = linked.add_process('b', fail_to_read)
     while linked.leaders['b'].scheduler is None:
--- a/chiveworks/dispatch/tests/test_leader_failures.py
+++ b/chiveworks/dispatch/tests/test_leader_failures.py
@@ -136,7 +136,7 @@
     def create_failing(term):
         schedulers.append(create(term))
         # Called at the end of a recovery. An error with one entry does not end it.
-        _fail_once(schedulers[-1].fleet, 'record_missing')
+        _fail_once(schedulers[-1].fleet, 'record_unreached')
         return schedulers[-1]
 
     leader._create_scheduler = create_failing
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -7,10 +7,10 @@
 
 from chiveworks.base import Epoch, ManualClock, WorkerId
 from chiveworks.dispatch._lease_handover import RECORD_AFTER, LeaseHandover
-from chiveworks.dispatch._lease_record import decode_leases, encode_leases
+from chiveworks.dispatch._lease_record import LeaseRecord, decode_leases
 from chiveworks.dispatch._worker_lease import BRIEF_EXTENSION, CLOCK_DRIFT
 from chiveworks.events import EventLog
-from chiveworks.metastore import Term
+from chiveworks.metastore import Term, TermHistory
 from standins.runners import LEASE_LIMIT
 
 WORKER = WorkerId('w')
@@ -23,8 +23,8 @@
     def __init__(self):
         self.puts = []
 
-    def put(self, _key, content, on_stored):
-        self.puts.append((decode_leases(content)[1], on_stored))
+    def put(self, _key, content, on_stored=None):
+        self.puts.append((decode_leases(content).times_left, on_stored))
 
 
 class _Leader:
@@ -48,7 +48,8 @@
         )
         self.handover = LeaseHandover(term, self.clock, log, self.writer, LEASE_LIMIT)
         if inherited is not None:
-            self.handover.inherit(encode_leases(term.previous_token, inherited))
+            record = LeaseRecord(term.previous_token, inherited)
+            self.handover.inherit(record.encode(), TermHistory(self.clock))
         self.lease = self.handover.open(WORKER)
 
     def reach(self):
@@ -145,7 +146,11 @@
     (line,) = capfd.readouterr().out.splitlines()
     written = json.loads(line)
     assert written['event'] == 'leases_inherited'
-    assert (written['token'], written['workers'], written['longest_left_s']) == (1, 1, 2)
+    assert (written['token'], written['workers'], written['longest_left_s']) == (
+        1,
+        1,
+        2,
+    )
 
 
 def test_a_recorded_time_is_that_until_the_lease_has_lapsed(leader):
@@ -167,7 +172,7 @@
 
     monkeypatch.setattr(leader.handover._term, 'write', write)
     await leader.handover.confirm()
-    return decode_leases(stored[0])[1]
+    return decode_leases(stored[0]).times_left
 
 
 async def test_a_brief_extension_before_a_change_of_the_leader_is_waited_for(
@@ -216,14 +221,28 @@
     assert record[WORKER] >= leader.lease.time_left(leader.clock.monotonic())
 
 
-def test_a_worker_found_missing_stays_frozen_after_an_earlier_record_is_stored(leader):
+def test_a_worker_that_is_not_reached_is_recorded_at_the_end_of_the_recovery():
     """Guards against a lost worker that is recorded only a second after the recovery."""
-    leader.lose()
-    leader.handover.freeze(WORKER)
-    leader.handover.freeze(WorkerId('missing'))
+    leader = _Leader()
     missing = leader.handover.open(WorkerId('missing'))
+    leader.handover.end_recovery({WorkerId('missing'): missing})
+    record, _ = leader.writer.puts[0]
+    assert set(record) == {'missing'}
     leader.confirm()
     assert missing.frozen
+    assert not leader.lease.frozen
+
+
+def test_no_lease_is_extended_in_full_before_the_recovery_has_ended():
+    """Guards against an extension while the stored record gives a time for all workers,
+    of which the next leader would not know."""
+    leader = _Leader()
+    leader.lease.observe_clock(timedelta(seconds=100), leader.clock.monotonic())
+    assert not leader.extends()
+    leader.handover.end_recovery({})
+    assert not leader.extends()
+    leader.confirm()
+    assert leader.extends()
 
 
 def test_a_short_time_left_in_a_record_of_an_earlier_version_is_extended():
--- a/chiveworks/dispatch/tests/test_leases_across_leaders.py
+++ b/chiveworks/dispatch/tests/test_leases_across_leaders.py
@@ -60,7 +60,7 @@
         }
         assert claims == runs
         record = self._deployment.store.items.get(LEASES_KEY)
-        assert record is None or not decode_leases(record.content)[1]
+        assert record is None or not decode_leases(record.content).times_left
 
     @property
     def _calm(self):
--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -27,6 +27,7 @@
 )
 from chiveworks.metastore._replica import Replica
 from chiveworks.metastore._term import Term, TermLostError
+from chiveworks.metastore._term_history import TermHistory
 
 __all__ = (
     'CAPACITY_KEY',
@@ -48,6 +49,7 @@
     'Replica',
     'StoreItem',
     'Term',
+    'TermHistory',
     'TermLostError',
     'Transaction',
     'WatchBatch',
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -27,6 +27,7 @@
 from chiveworks.metastore._replica import Replica
 from chiveworks.metastore._sequence import encode_acquisition, last_token
 from chiveworks.metastore._term import Term
+from chiveworks.metastore._term_history import TermHistory
 
 #: Pause after a failed attempt to become leader, such as during a store outage.
 RETRY_PAUSE: Final = timedelta(milliseconds=60)
@@ -60,6 +61,7 @@
     Attributes:
         leader: Replica of the leader key, the speed of the fastest process, the
             latest challenge of a leader and the shapes of the workers.
+        history: Times at which this process has seen terms.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
             store, LEADER_PREFIX, _decode_leader, clock, log
         )
         self.leader.subscribe(self._on_change)
+        self.history = TermHistory(clock)
 
     @property
     def vacant(self) -> bool:
@@ -154,7 +157,9 @@
         while not self.vacant or self._clock.monotonic() < self._candidacy_paused_until:
             await self._clock.sleep(_POLL_INTERVAL)
 
-    def _on_change(self, _name: str, _leader: str | None) -> None:
+    def _on_change(self, name: str, entry: str | None) -> None:
+        if name == _HOLDER_NAME and entry is not None:
+            self.history.observe(entry)
         self._changed.set()
 
     def _fastest_cores(self) -> float:
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -55,6 +55,7 @@
 
     Attributes:
         valid_until: When the term ends unless its lease is renewed.
+        acquired_at: When the request for the lease was sent.
         lost: Set once the term has ended.
         progressed_at: When the process last did work of the term.
     """
@@ -74,6 +75,7 @@
         self.leader_value = leader_value
         self.token = token
         self.previous_token = previous_token
+        self.acquired_at = acquired_at
         self.valid_until = acquired_at + ttl - VALIDITY_MARGIN
         self.lost = asyncio.Event()
         self.progressed_at = clock.monotonic()
