Store at each acquisition how long ago the last writer's term began and ended

Cause: a process counts recorded times from when it saw the term of the record begin. The process that led last had just started again. Two leaders before it had been killed before their first write, so the last record was that of a term it had never seen, and it counted from its read: 5.4 s of time without a record did not count.

Change: the acquisition, which writes the sequence key anyway, also stores the least time since the last writer's term had begun and since another term had begun after it. The next process adds what it has seen itself. Terms are told apart by their token, which is the revision of the leader key, so that the record no longer needs the leader value.

Roll-out: an acquisition of an earlier version has no times; the end of the last writer's term then counts as unknown, also for all processes after it until one writes. An earlier version cannot read the new content and takes the term for one that has written.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -226,9 +226,7 @@
         while term.valid:
             result = await self._store.read(LEASES_KEY)
             if not isinstance(result, Err):
-                scheduler.leases.inherit(
-                    result.ok_value.content, self._election.history
-                )
+                scheduler.leases.inherit(result.ok_value.content)
                 scheduler.begin_writing()
                 return
             await self._clock.sleep(RECOVERY_RETRY_PAUSE)
--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -16,7 +16,7 @@
     time_to_lapse,
 )
 from chiveworks.events import EventLog
-from chiveworks.metastore import LEASES_KEY, Term, TermHistory
+from chiveworks.metastore import LEASES_KEY, LastWriter, Term
 
 #: Time for which a worker has to be out of reach before it is recorded. A short loss of
 #: contact then does not freeze its lease.
@@ -79,13 +79,8 @@
         self._recovering = True
         self._opened: set[WorkerId] = set()
 
-    def inherit(self, stored: bytes | None, history: TermHistory) -> None:
-        """Takes over the record of an earlier leader.
-
-        Args:
-            stored: Record that has just been read; None if there is none.
-            history: Times at which this process has seen earlier terms.
-        """
+    def inherit(self, stored: bytes | None) -> None:
+        """Takes over the record of an earlier leader, which has just been read."""
         now = self._clock.monotonic()
         self._default_lapses_at = now + time_to_lapse(self._lease_limit)
         if stored is None:
@@ -95,21 +90,22 @@
         except ValueError as error:
             self._log.write('entry_skipped', key=LEASES_KEY, reason=str(error))
             return
-        if record.token != self._term.previous_token:
+        last_writer = self._term.last_writer
+        if record.token != last_writer.token:
             self._log.write('leases_outdated', token=record.token)
             return
         self._inherited = {
-            worker_id: _lapses_at(record, left, now, history)
+            worker_id: _lapses_at(record, left, now, last_writer)
             for worker_id, left in record.times_left.items()
         }
         if record.default_left is None:
             # A later term that has not written has extended leases only briefly.
-            ended_at = history.succeeded_at(record.leader_value) or now
+            ended_at = last_writer.ended_at or now
             lapses_at = ended_at + time_to_lapse(self._lease_limit)
             self._default_lapses_at = max(lapses_at, now + BRIEF_LAPSE)
         else:
             self._default_lapses_at = _lapses_at(
-                record, record.default_left, now, history
+                record, record.default_left, now, last_writer
             )
         self._log_inherited(record, now)
 
@@ -196,7 +192,6 @@
                 for worker_id, left in times_left.items()
             },
             None if default_left is None else _with_brief_extension(default_left),
-            self._term.leader_value,
             now - self._term.acquired_at,
         )
         return record.encode()
@@ -241,17 +236,16 @@
 
 
 def _lapses_at(
-    record: LeaseRecord, left: timedelta, now: timedelta, history: TermHistory
+    record: LeaseRecord, left: timedelta, now: timedelta, last_writer: LastWriter
 ) -> timedelta:
     """Returns when a lease with a recorded time left has certainly lapsed."""
     if not left:
         return now
     lapses_at = now + left
-    begun_at = history.seen_at(record.leader_value)
-    if begun_at is not None:
+    if record.term_age is not None:
         # The clocks of the two processes may differ in speed.
         age = record.term_age / (1 - CLOCK_DRIFT)
-        lapses_at = min(lapses_at, begun_at + age + left)
+        lapses_at = min(lapses_at, last_writer.begun_at + age + left)
     # A later term that has not written may have extended the lease briefly.
     return max(lapses_at, now + BRIEF_LAPSE)
 
--- a/chiveworks/dispatch/_lease_record.py
+++ b/chiveworks/dispatch/_lease_record.py
@@ -34,15 +34,13 @@
         times_left: Times by worker. Zero if the lease has lapsed.
         default_left: Time for all other workers, if the term has not extended their
             leases but briefly; None if it may have extended them in full.
-        leader_value: Leader value of the term; empty if unknown.
-        term_age: Time from before the beginning of the term to the write.
+        term_age: Time from before the beginning of the term to the write; None if unknown.
     """
 
     token: Epoch
     times_left: Mapping[WorkerId, timedelta] = field(default_factory=dict)
     default_left: timedelta | None = None
-    leader_value: str = ''
-    term_age: timedelta = timedelta()
+    term_age: timedelta | None = None
 
     def encode(self) -> bytes:
         """Encodes the record for the store; times are rounded up."""
@@ -54,8 +52,7 @@
                     for worker_id, left in self.times_left.items()
                 },
                 None if self.default_left is None else _to_ms(self.default_left),
-                self.leader_value,
-                _to_ms(self.term_age),
+                None if self.term_age is None else _to_ms(self.term_age),
             )
         )
         return packed
@@ -77,8 +74,7 @@
     token: Any,
     left_ms: Any,
     default_left_ms: Any = None,
-    leader_value: Any = '',
-    term_age_ms: Any = 0,
+    term_age_ms: Any = None,
 ) -> LeaseRecord:
     return LeaseRecord(
         Epoch(int(token)),
@@ -87,8 +83,7 @@
             for worker_id, left in left_ms.items()
         },
         None if default_left_ms is None else _from_ms(default_left_ms, _MAX_LEFT_MS),
-        str(leader_value),
-        _from_ms(term_age_ms, _MAX_AGE_MS),
+        None if term_age_ms is None else _from_ms(term_age_ms, _MAX_AGE_MS),
     )
 
 
--- a/chiveworks/dispatch/tests/test_first_writes.py
+++ b/chiveworks/dispatch/tests/test_first_writes.py
@@ -142,7 +142,7 @@
 
     def fail_to_read(scheduler):
         inherit = scheduler.leases.inherit
-        scheduler.leases.inherit = lambda _stored, history: inherit(b'\xc1', history)
+        scheduler.leases.inherit = lambda _stored: inherit(b'\xc1')
 
     link = FaultyLink(linked, 'refuse')
     second = await begin_term(linked, monkeypatch, 'b', link, fail_to_read)
--- a/chiveworks/dispatch/tests/test_handed_over_leases.py
+++ b/chiveworks/dispatch/tests/test_handed_over_leases.py
@@ -155,7 +155,7 @@
         lease.frozen = False
         return lease
 
-    leases.inherit = lambda _stored, _history: None
+    leases.inherit = lambda _stored: None
     leases.confirm = lambda: leases._term.write({})
     leases.open = open_unfrozen
     leases.end_recovery = lambda _unreached: None
@@ -189,7 +189,7 @@
 
     def fail_to_read(scheduler):
         inherit = scheduler.leases.inherit
-        scheduler.leases.inherit = lambda _stored, history: inherit(b'\xc1', history)
+        scheduler.leases.inherit = lambda _stored: inherit(b'\xc1')
 
     second = linked.add_process('b', fail_to_read)
     while linked.leaders['b'].scheduler is None:
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -10,7 +10,7 @@
 from chiveworks.dispatch._lease_record import LeaseRecord, decode_leases
 from chiveworks.dispatch._worker_lease import BRIEF_EXTENSION, CLOCK_DRIFT
 from chiveworks.events import EventLog
-from chiveworks.metastore import Term, TermHistory
+from chiveworks.metastore import LastWriter, Term
 from standins.runners import LEASE_LIMIT
 
 WORKER = WorkerId('w')
@@ -41,15 +41,15 @@
             log,
             '',
             Epoch(2),
-            Epoch(1),
+            LastWriter(Epoch(1), self.clock.monotonic(), self.clock.monotonic()),
             None,
             LEASE_LIMIT,
             self.clock.monotonic(),
         )
         self.handover = LeaseHandover(term, self.clock, log, self.writer, LEASE_LIMIT)
         if inherited is not None:
-            record = LeaseRecord(term.previous_token, inherited)
-            self.handover.inherit(record.encode(), TermHistory(self.clock))
+            record = LeaseRecord(term.last_writer.token, inherited)
+            self.handover.inherit(record.encode())
         self.lease = self.handover.open(WORKER)
 
     def reach(self):
--- a/chiveworks/dispatch/tests/test_leases_across_terms.py
+++ b/chiveworks/dispatch/tests/test_leases_across_terms.py
@@ -1,5 +1,6 @@
 """Tests of leases that outlast several terms, each of which ends early."""
 
+import functools
 import itertools
 
 import pytest
@@ -51,11 +52,11 @@
         await self._linked.kill(task)
         return name
 
-    async def wait_for_leader(self):
-        """Waits until a process leads and has restored the state."""
+    async def wait_for_leader(self, settle_s=0.05):
+        """Waits until a process leads, and then for `settle_s` seconds."""
         while not self.leader():
             await self._linked.wait(0.01)
-        await self._linked.wait(0.05)
+        await self._linked.wait(settle_s)
 
 
 class LateRecordLink(FaultyLink):
@@ -122,6 +123,36 @@
     assert linked.running_on()
 
 
+@pytest.mark.parametrize('count', [1, 3])
+async def test_a_process_that_has_just_started_knows_of_terms_that_wrote_nothing(
+    linked, monkeypatch, count
+):
+    """Guards against a whole lease that is waited for anew by a process that has not seen
+    the terms since the last record."""
+    terms = Terms(linked)
+    terms.add()
+    await terms.wait_for_leader()
+    with monkeypatch.context() as patch:
+        refuse = functools.partial(FaultyLink, fault='refuse')
+        patch.setattr(test_handed_over_leases, 'StoreLink', refuse)
+        terms.add(count)
+    await linked.submit(REF.job_id, STEP)
+    (name,) = linked.running_on()
+    await linked.wait(1)
+    lose(linked, name, announced=False)
+    lost_at = linked.clock.monotonic()
+    for _ in range(count):
+        await terms.end(killed=True)
+        await terms.wait_for_leader(0.3)
+    terms.add()
+    await linked.wait(0.1)
+    await terms.end(killed=True)
+    await terms.wait_for_leader()
+    waited = (linked.clock.monotonic() - lost_at).total_seconds()
+    await linked.wait(max(RESTART_LIMIT - waited, 0))
+    assert linked.running_on()
+
+
 @pytest.mark.parametrize('count', [1, 3, 5])
 async def test_processes_that_start_anew_do_not_extend_the_wait_for_a_lost_worker(
     linked, count
--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -15,6 +15,7 @@
     job_key,
     progress_key,
 )
+from chiveworks.metastore._last_writer import LastWriter
 from chiveworks.metastore._lease_thread import LeaseThread
 from chiveworks.metastore._metadata_store import (
     Committed,
@@ -27,7 +28,6 @@
 )
 from chiveworks.metastore._replica import Replica
 from chiveworks.metastore._term import Term, TermLostError
-from chiveworks.metastore._term_history import TermHistory
 
 __all__ = (
     'CAPACITY_KEY',
@@ -43,13 +43,13 @@
     'Committed',
     'Conflict',
     'Election',
+    'LastWriter',
     'LeaseThread',
     'Listing',
     'MetadataStore',
     'Replica',
     'StoreItem',
     'Term',
-    'TermHistory',
     'TermLostError',
     'Transaction',
     'WatchBatch',
--- a/chiveworks/metastore/_election.py
+++ b/chiveworks/metastore/_election.py
@@ -25,7 +25,7 @@
     Transaction,
 )
 from chiveworks.metastore._replica import Replica
-from chiveworks.metastore._sequence import encode_acquisition, last_token
+from chiveworks.metastore._sequence import encode_acquisition
 from chiveworks.metastore._term import Term
 from chiveworks.metastore._term_history import TermHistory
 
@@ -61,7 +61,6 @@
     Attributes:
         leader: Replica of the leader key, the speed of the fastest process, the
             latest challenge of a leader and the shapes of the workers.
-        history: Times at which this process has seen terms.
     """
 
     def __init__(
@@ -85,7 +84,7 @@
             store, LEADER_PREFIX, _decode_leader, clock, log
         )
         self.leader.subscribe(self._on_change)
-        self.history = TermHistory(clock)
+        self._history = TermHistory(clock)
 
     @property
     def vacant(self) -> bool:
@@ -157,9 +156,12 @@
         while not self.vacant or self._clock.monotonic() < self._candidacy_paused_until:
             await self._clock.sleep(_POLL_INTERVAL)
 
-    def _on_change(self, name: str, entry: str | None) -> None:
-        if name == _HOLDER_NAME and entry is not None:
-            self.history.observe(entry)
+    def _on_change(self, name: str, _entry: str | None) -> None:
+        if name == _HOLDER_NAME:
+            # The leader key is written only at the beginning of a term.
+            revision = self.leader.revision(name)
+            if revision is not None:
+                self._history.observe(Epoch(revision))
         self._changed.set()
 
     def _fastest_cores(self) -> float:
@@ -232,10 +234,10 @@
             LEADER_KEY: holder_result.ok_value.revision,
             SEQUENCE_KEY: sequence_result.ok_value.revision,
         }
-        last_writer = last_token(sequence_result.ok_value)
+        last_writer = self._history.last_writer(sequence_result.ok_value)
         revision = await self._acquire_leader_key(
             leader_value,
-            encode_acquisition(last_writer, leader_value),
+            encode_acquisition(last_writer, leader_value, self._clock.monotonic()),
             lease_result.ok_value,
             expected,
         )
--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -77,6 +77,10 @@
         """
         self._listeners.append(listener)
 
+    def revision(self, name: str) -> Revision | None:
+        """Returns the revision of an entry; None if there is none."""
+        return self._revisions.get(self._prefix + name)
+
     async def run(self) -> None:
         """Follows the changes under the prefix until cancelled."""
         while True:
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -11,6 +11,7 @@
 from chiveworks.base import Clock, Epoch, Revision, StoreLeaseId
 from chiveworks.events import EventLog
 from chiveworks.metastore._keys import SEQUENCE_KEY
+from chiveworks.metastore._last_writer import LastWriter
 from chiveworks.metastore._metadata_store import (
     Committed,
     Conflict,
@@ -47,8 +48,7 @@
         log: Log for the end of the term.
         leader_value: Content of the leader key, unique to the term.
         token: Fencing token; higher than that of all earlier terms.
-        previous_token: Fencing token of the last term that has written; 0 if there was
-            none.
+        last_writer: Last term before this one that has written.
         lease: Store lease of the leader key.
         ttl: Time to live of the lease after a renewal.
         acquired_at: When the request for the lease was sent.
@@ -67,14 +67,14 @@
         log: EventLog,
         leader_value: str,
         token: Epoch,
-        previous_token: Epoch,
+        last_writer: LastWriter,
         lease: StoreLeaseId,
         ttl: timedelta,
         acquired_at: timedelta,
     ) -> None:
         self.leader_value = leader_value
         self.token = token
-        self.previous_token = previous_token
+        self.last_writer = last_writer
         self.acquired_at = acquired_at
         self.valid_until = acquired_at + ttl - VALIDITY_MARGIN
         self.lost = asyncio.Event()
--- a/chiveworks/metastore/tests/test_leader_speed.py
+++ b/chiveworks/metastore/tests/test_leader_speed.py
@@ -10,7 +10,7 @@
 
 from chiveworks.base import Epoch, StoreLeaseId, SystemClock
 from chiveworks.dispatch.tests.deployment import RecordingLog
-from chiveworks.metastore import LeaseThread, Term
+from chiveworks.metastore import LastWriter, LeaseThread, Term
 from chiveworks.metastore._candidacy import LEADER_TTL
 from chiveworks.metastore._term import PROGRESS_LIMIT
 from chiveworks.metastore.tests.test_term import Cluster
@@ -136,7 +136,7 @@
         RecordingLog(clock),
         'a',
         Epoch(2),
-        Epoch(1),
+        LastWriter(Epoch(1), clock.monotonic()),
         StoreLeaseId(1),
         TTL,
         clock.monotonic(),
