Write no record of leases before the leases are inherited

What callers saw (a trial with real processes at: a worker falls silent, comes back and falls silent again while three leaders are killed): the lasting task waited 9.3 s.

Cause: the record is renewed every 0.25 s during the recovery, from its first moment on. The first renewal came before the record of the last term had been read, waited in the writer, and replaced the first record of the term right after it was stored: it named no worker and gave a whole lease for all. Safe, but the next term waited anew.

Change: renewals begin once the leases are inherited.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -76,12 +76,14 @@
         self._frozen: set[WorkerId] = set()
         self._recorded: set[WorkerId] | None = None
         self._recorded_at = timedelta()
-        self._recovering = True
+        # Whether the leases are inherited and the state is still being restored.
+        self._recovering = False
         self._opened: set[WorkerId] = set()
 
     def inherit(self, stored: bytes | None) -> None:
         """Takes over the record of an earlier leader, which has just been read."""
         now = self._clock.monotonic()
+        self._recovering = True
         self._default_lapses_at = now + time_to_lapse(self._lease_limit)
         if stored is None:
             return
--- a/chiveworks/dispatch/tests/test_lease_handover.py
+++ b/chiveworks/dispatch/tests/test_lease_handover.py
@@ -6,7 +6,11 @@
 import pytest
 
 from chiveworks.base import Epoch, ManualClock, WorkerId
-from chiveworks.dispatch._lease_handover import RECORD_AFTER, LeaseHandover
+from chiveworks.dispatch._lease_handover import (
+    RECORD_AFTER,
+    RECORD_INTERVAL,
+    LeaseHandover,
+)
 from chiveworks.dispatch._lease_record import LeaseRecord, decode_leases
 from chiveworks.dispatch._worker_lease import BRIEF_EXTENSION, CLOCK_DRIFT
 from chiveworks.events import EventLog
@@ -233,6 +237,15 @@
     assert not leader.lease.frozen
 
 
+def test_nothing_is_written_before_the_leases_are_inherited():
+    """Guards against a record of the recovery that replaces the inherited times by a
+    whole lease."""
+    leader = _Leader()
+    leader.clock.shift(RECORD_INTERVAL)
+    leader.handover.refresh()
+    assert not leader.writer.puts
+
+
 def test_no_lease_is_extended_in_full_before_the_recovery_has_ended():
     """Guards against an extension while the stored record gives a time for all workers,
     of which the next leader would not know."""
