Reserve a worker for an interrupted lasting task after 0.3 s instead of 1.5 s

What callers saw: lasting tasks of lost workers run again more than 9 s after their last run (LOST), although short tasks end all the while.

Cause: StarvationGuard waits for 1.5 s before it reserves a worker, so that a moved task may still get its target. A moved task has its reservation all the while, and the guard passes over tasks that have one, so the wait only delays the others. A lease, the 1.5 s, the time of a short task and a second turn for the reserved workers add up to more than 9 s.

Change: a worker is reserved from the second check on, 0.3 s apart. Only a moved task, whose reservation is older than its wait, starts on nothing but its target for 1.5 s; one with a reservation made by the guard takes any room.

--- a/chiveworks/dispatch/_consolidator.py
+++ b/chiveworks/dispatch/_consolidator.py
@@ -175,6 +175,7 @@
         self._moves[task.step_run] = _Move(task, source, target, now)
         self._moved_at[task] = now
         task.reserved_worker = target.worker_id
+        task.reserved_at = now
         target.reserve(task)
         self._log.write(
             'serving_task_moved',
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -37,8 +37,8 @@
 #: the platform's rule on lost jobs allows a job to have no running task for 3 s at
 #: most.
 EXCESS_WAIT: Final = timedelta(milliseconds=2500)
-#: Maximum time for which a task waits for its reserved worker only. The tasks that move
-#: away from the target of a move must end first.
+#: Maximum time for which a moved task waits for its target only. The tasks that move away
+#: from there must end first.
 RESERVED_WAIT: Final = timedelta(milliseconds=1500)
 #: Maximum age of the cached list of workers that accept tasks. An assignment round
 #: uses the list once per step. Claims are checked again by the workers.
@@ -95,10 +95,10 @@
 
     def choose(self, task: Task, candidates: Sequence[WorkerView]) -> WorkerView | None:
         """Returns the best worker for a task, or None if no worker is suitable."""
-        waited = self._clock.monotonic() - task.waiting_since
         if task.reserved_worker is not None:
+            waits = waits_for_target(task, self._clock.monotonic())
             reserved_worker = self._take_reservation(task, candidates)
-            if reserved_worker is not None or waited < RESERVED_WAIT:
+            if reserved_worker is not None or waits:
                 return reserved_worker
         rate = self._rating(task, candidates)
         if task.crashes:
@@ -122,12 +122,11 @@
     def searches_all(self, task: Task) -> bool:
         """Tells whether a task is tried on all workers.
 
-        A suspect is not, nor a task that waits for its reserved worker.
+        A suspect is not, nor a moved task that waits for its target.
         """
         if task.crashes:
             return False
-        waited = self._clock.monotonic() - task.waiting_since
-        return task.reserved_worker is None or waited >= RESERVED_WAIT
+        return not waits_for_target(task, self._clock.monotonic())
 
     def reservation_ready(self, task: Task) -> bool:
         """Tells whether a task has a reservation that can be used or must end."""
@@ -307,3 +306,12 @@
         if share_left(worker, spec) < -OVERCOMMIT_SHARE:
             return False
         return self._forecast.effect(worker, spec)[0] <= EXCESS_LIMIT
+
+
+def waits_for_target(task: Task, now: timedelta) -> bool:
+    """Tells whether a moved task may start on the target of its move only."""
+    return (
+        task.reserved_worker is not None
+        and task.reserved_at <= task.waiting_since
+        and now - task.waiting_since < RESERVED_WAIT
+    )
--- a/chiveworks/dispatch/_relocator.py
+++ b/chiveworks/dispatch/_relocator.py
@@ -142,6 +142,7 @@
             return False
         self._moves[task] = _Move(target, now)
         task.reserved_worker = target.worker_id
+        task.reserved_at = now
         target.reserve(task)
         self._log.write(
             'lasting_task_moved',
--- a/chiveworks/dispatch/_starvation_guard.py
+++ b/chiveworks/dispatch/_starvation_guard.py
@@ -7,7 +7,6 @@
 
 from chiveworks.base import Clock, Resources
 from chiveworks.dispatch._job_table import JobTable
-from chiveworks.dispatch._placer import RESERVED_WAIT
 from chiveworks.dispatch._room_checks import limit_reached
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -128,6 +127,7 @@
         worker = min(suitable, key=lambda each: _shortage(each, task))
         worker.reserve(task)
         task.reserved_worker = worker.worker_id
+        task.reserved_at = now
         self._reservations[task] = _Reservation(worker, now)
         self._log.write(
             'worker_reserved',
@@ -148,8 +148,7 @@
 
 
 def _is_starved(task: Task, now: timedelta) -> bool:
-    # A task that has waited for less may still wait for the target of its move.
-    has_waited = now - task.waiting_since >= RESERVED_WAIT
+    has_waited = now - task.waiting_since >= CHECK_INTERVAL
     return bool(task.attempt) and task.reserved_worker is None and has_waited
 
 
--- a/chiveworks/dispatch/_wait_log.py
+++ b/chiveworks/dispatch/_wait_log.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from chiveworks.base import Clock
-from chiveworks.dispatch._placer import RESERVED_WAIT, Placer
+from chiveworks.dispatch._placer import Placer, waits_for_target
 from chiveworks.dispatch._room_checks import fits
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -119,7 +119,7 @@
         return WaitReason.NO_WORKERS
     if task.step_run.job.queue.advised and not permitted:
         return WaitReason.NO_TICKET
-    if task.reserved_worker and now - task.waiting_since < RESERVED_WAIT:
+    if waits_for_target(task, now):
         return WaitReason.RESERVED_WORKER
     return WaitReason.NO_CAPACITY
 
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -70,6 +70,7 @@
         sent: Whether the start of the current run may have been sent.
         waiting_since: When the task last began to wait for a worker.
         reserved_worker: Worker with capacity reserved for the next run.
+        reserved_at: When that worker was reserved.
         avoided_workers: Workers that rejected the task or on which it failed or
             stalled.
     """
@@ -94,6 +95,7 @@
     sent: bool = False
     waiting_since: timedelta = timedelta()
     reserved_worker: WorkerId | None = None
+    reserved_at: timedelta = timedelta()
     avoided_workers: set[WorkerId] = field(default_factory=set)
 
     @property
