Search for room for every starved lasting task

Cause: each check of StarvationGuard searches for 8 steps at most, always for those that have waited longest. If no worker can hold these, the tasks after them are never searched for (head-of-line blocking).

Evidence: tests/test_many_lost_workers.py, written first; both cases fail without this change (tasks too large, or of a label without workers, before one that fits).

Change: a step for which a search failed comes after the others in the next check. Tasks larger than the largest room beside lasting tasks are passed over without a search.

--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -165,7 +165,11 @@
             self.table.filling_tasks_wait,
         )
         self._starvation_guard = StarvationGuard(
-            clock, log, self.table, self._assigner.candidates
+            clock,
+            log,
+            self.table,
+            self._assigner.candidates,
+            placer.available_workers,
         )
         self._guard = InterferenceGuard(clock, self.orders, placer, self.model)
         self._checks = PeriodicChecks(
--- a/chiveworks/dispatch/_starvation_guard.py
+++ b/chiveworks/dispatch/_starvation_guard.py
@@ -5,8 +5,9 @@
 from datetime import timedelta
 from typing import Final
 
-from chiveworks.base import Clock, Resources
+from chiveworks.base import Clock
 from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._reservable_room import ReservableRoom
 from chiveworks.dispatch._room_checks import limit_reached
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -44,6 +45,7 @@
         log: Event log for reservations.
         table: Open jobs and their waiting steps.
         candidates_of: Returns the workers on which tasks of a step may start.
+        accepting: Returns the workers that accept tasks.
     """
 
     def __init__(
@@ -52,11 +54,14 @@
         log: EventLog,
         table: JobTable,
         candidates_of: Callable[[StepRun], list[WorkerView]],
+        accepting: Callable[[], list[WorkerView]],
     ) -> None:
         self._clock = clock
         self._log = log
         self._table = table
         self._candidates_of = candidates_of
+        self._accepting = accepting
+        self._failed_at: dict[StepRun, timedelta] = {}
         self._reservations: dict[Task, _Reservation] = {}
         self._checked_at = timedelta()
 
@@ -67,17 +72,36 @@
             return
         self._checked_at = now
         tried = self._end_reservations(now)
-        lasting: dict[WorkerView, Resources] = {}
-        unsuccessful: set[StepRun] = set()
+        starved = self._starved_tasks(now)
+        if starved:
+            self._make_reservations(starved, tried, now)
+
+    def _make_reservations(
+        self, starved: list[Task], tried: set[WorkerView], now: timedelta
+    ) -> None:
+        room = ReservableRoom(self._accepting())
+        passed_over: set[StepRun] = set()
         searches = 0
-        for task in self._starved_tasks(now):
+        for task in starved:
+            run = task.step_run
             if searches == MAX_SEARCHES:
                 return
-            if task.step_run not in unsuccessful:
-                searches += 1
-                self._reserve_for(task, tried, lasting, now)
-                if task.reserved_worker is None:
-                    unsuccessful.add(task.step_run)
+            if run in passed_over or not room.may_suffice(task.spec.demand):
+                continue
+            candidates = self._candidates_of(run)
+            if self._limit_reached(candidates):
+                passed_over.add(run)
+                continue
+            searches += 1
+            worker = _best_worker(
+                task, [each for each in candidates if each not in tried], room
+            )
+            if worker is None:
+                self._failed_at[run] = now
+                passed_over.add(run)
+            else:
+                self._failed_at.pop(run, None)
+                self._reserve(worker, task, now)
 
     def _end_reservations(self, now: timedelta) -> set[WorkerView]:
         """Ends reservations; returns the workers that were reserved for too long."""
@@ -96,35 +120,34 @@
         return tried
 
     def _starved_tasks(self, now: timedelta) -> list[Task]:
+        """Returns the tasks that need a reservation, in the order of the searches.
+
+        Steps for which a search has failed come last, so that they do not keep others
+        from being searched for.
+        """
+        ready = self._table.ready
+        self._failed_at = {
+            run: at for run, at in self._failed_at.items() if run in ready
+        }
         starved = [
             task
-            for run in self._table.ready
+            for run in ready
             if run.interrupted_at is not None and not run.spec.gang
             for task in run.waiting()
             if _is_starved(task, now)
         ]
-        return sorted(starved, key=_rank)
+        return sorted(starved, key=self._rank)
 
-    def _reserve_for(
-        self,
-        task: Task,
-        tried: set[WorkerView],
-        lasting: dict[WorkerView, Resources],
-        now: timedelta,
-    ) -> None:
-        candidates = self._candidates_of(task.step_run)
-        if self._reserved_count(candidates) >= max(
-            1, int(RESERVED_SHARE * len(candidates))
-        ):
-            return
-        suitable = [
-            worker
-            for worker in candidates
-            if worker not in tried and _can_hold(worker, task, lasting)
-        ]
-        if not suitable:
-            return
-        worker = min(suitable, key=lambda each: _shortage(each, task))
+    def _rank(self, task: Task) -> tuple[timedelta, int, timedelta]:
+        failed_at = self._failed_at.get(task.step_run, timedelta())
+        return failed_at, task.step_run.job.queue.priority, task.waiting_since
+
+    def _limit_reached(self, candidates: Sequence[WorkerView]) -> bool:
+        reserved = {each.worker for each in self._reservations.values()}
+        count = sum(worker in reserved for worker in candidates)
+        return count >= max(1, int(RESERVED_SHARE * len(candidates)))
+
+    def _reserve(self, worker: WorkerView, task: Task, now: timedelta) -> None:
         worker.reserve(task)
         task.reserved_worker = worker.worker_id
         task.reserved_at = now
@@ -138,14 +161,6 @@
             waiting_ms=(now - task.waiting_since) // _MILLISECOND,
         )
 
-    def _reserved_count(self, candidates: Sequence[WorkerView]) -> int:
-        reserved = {each.worker for each in self._reservations.values()}
-        return sum(worker in reserved for worker in candidates)
-
-
-def _rank(task: Task) -> tuple[int, timedelta]:
-    return task.step_run.job.queue.priority, task.waiting_since
-
 
 def _is_starved(task: Task, now: timedelta) -> bool:
     has_waited = now - task.waiting_since >= CHECK_INTERVAL
@@ -156,26 +171,17 @@
     return task.state is TaskState.WAITING and not task.step_run.job.state.terminal
 
 
-def _can_hold(
-    worker: WorkerView, task: Task, lasting: dict[WorkerView, Resources]
-) -> bool:
-    """Whether a task fits on a worker once the tasks that are not lasting have ended.
-
-    `lasting` caches the resources of the lasting tasks, by worker.
-    """
-    if worker.reservations or limit_reached(worker, task.step_run):
-        return False
-    if worker not in lasting:
-        lasting[worker] = _lasting_demand(worker)
-    return (lasting[worker] + task.spec.demand).fits_in(worker.info.capacity)
-
-
-def _lasting_demand(worker: WorkerView) -> Resources:
-    total = Resources()
-    for task in worker.tasks.values():
-        if task.spec.long_running:
-            total += task.spec.demand
-    return total
+def _best_worker(
+    task: Task, candidates: Sequence[WorkerView], room: ReservableRoom
+) -> WorkerView | None:
+    """Returns the worker that lacks least for a task which it can hold, if any."""
+    suitable = [
+        worker
+        for worker in candidates
+        if room.suffices(worker, task.spec.demand)
+        and not limit_reached(worker, task.step_run)
+    ]
+    return min(suitable, key=lambda each: _shortage(each, task), default=None)
 
 
 def _shortage(worker: WorkerView, task: Task) -> float:
--- a/chiveworks/dispatch/tests/test_many_lost_workers.py
+++ b/chiveworks/dispatch/tests/test_many_lost_workers.py
@@ -1,8 +1,11 @@
 """Tests that lasting tasks run again in time after many workers are lost at once."""
 
+from dataclasses import replace
+
 import pytest
 
 from chiveworks.base import JobId, Resources
+from chiveworks.dispatch._starvation_guard import MAX_SEARCHES
 from chiveworks.dispatch.tests.deployment import InMemoryDeployment, start_leader
 from chiveworks.dispatch.tests.lasting_runner import LASTING, add_lasting_worker
 from chiveworks.dispatch.tests.test_interrupted_tasks import (
@@ -25,13 +28,16 @@
     def __init__(self):
         self.deployment = InMemoryDeployment(workers=0)
 
-    async def add_worker(self, name, cores):
-        """Adds a worker and, while it is the only one with room, a long-running task."""
+    async def add_worker(self, name, cores, label=''):
+        """Adds a worker and a long-running task that starts there, if it has cores."""
         add_lasting_worker(self.deployment, name, CORES)
+        if label:
+            self.deployment.change_worker(name, labels=frozenset((label,)))
         await self.deployment.wait(0.3)
         if cores:
+            step = replace(lasting(cores), required_label=label)
             job_id = JobId(LASTING + name)
-            await self.deployment.submit(job_id, lasting(cores), queue=PATIENT)
+            await self.deployment.submit(job_id, step, queue=PATIENT)
             await self.deployment.wait(0.1)
             assert self.running_on(name)
 
@@ -87,3 +93,24 @@
     await fleet.add_backlog(len(kept))
     await fleet.lose(lost)
     assert fleet.running() == {LASTING + name for name in lost}
+
+
+@pytest.mark.parametrize(
+    ('cores', 'label'), [(CORES, ''), (3, 'rare')], ids=['large', 'labelled']
+)
+async def test_tasks_that_no_worker_can_hold_do_not_keep_others_from_room(
+    fleet, cores, label
+):
+    """Guards against a task for which no room is kept, because the tasks before it, for
+    which there is none, use up all searches for a worker in each check."""
+    lost = [f'lost{number}' for number in range(MAX_SEARCHES + 1)]
+    kept = [f'kept{number}' for number in range(len(lost))]
+    for name in lost:
+        await fleet.add_worker(name, cores, label)
+    await fleet.add_worker('last', cores=3)
+    for name in kept:
+        # Leaves room for a task of three cores, not of four.
+        await fleet.add_worker(name, cores=1)
+    await fleet.add_backlog(len(kept))
+    await fleet.lose([*lost, 'last'])
+    assert LASTING + 'last' in fleet.running()
