Begin no move whose room an interrupted lasting task could use

Cause: the fleet is full then. Lasting tasks claim 3,630 of 3,780 cores, and 58 to 114 starved tasks of 2 to 5 cores wait for 7 s, of which the room beside the lasting tasks holds 0 to 3 (first fit). Meanwhile Consolidator goes on grouping serving tasks, which is an optimization, as filling tasks wait. An exchange empties room of 2 to 5 cores on two workers, reserved for 0.4 to 1 s until its tasks start again, and up to 8 moves follow each other all the time. So there is unused room that would hold the waiting tasks, which may not take it.

They need 3.05 and 3.45 cores; the free room that nothing reserved was 3.05 cores at most on any worker.

Change: no move begins if the smallest interrupted lasting task that waits without a reservation would fit in room that the move reserves or empties.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -103,6 +103,20 @@
             return self._tickets.allowed(run, workers)
         return workers
 
+    def smallest_interrupted(self) -> StepSpec | None:
+        """Returns the smallest lasting step that waits for room after a run has ended.
+
+        Tasks with a reservation and steps that no worker may run are not considered.
+        """
+        interrupted = (
+            run.spec
+            for run in self._table.ready
+            if run.interrupted_at is not None
+            and any(map(_lacks_room, run.waiting()))
+            and self.candidates(run)
+        )
+        return min(interrupted, key=_cpu_millicores, default=None)
+
     def _assign_contained(
         self,
         run: StepRun,
@@ -246,6 +260,14 @@
             task.unclaim()
 
 
+def _lacks_room(task: Task) -> bool:
+    return bool(task.attempt) and task.reserved_worker is None
+
+
+def _cpu_millicores(spec: StepSpec) -> int:
+    return spec.demand.cpu_millicores
+
+
 def _waiting_since(task: Task) -> timedelta:
     return task.waiting_since
 
--- a/chiveworks/dispatch/_consolidator.py
+++ b/chiveworks/dispatch/_consolidator.py
@@ -6,14 +6,14 @@
 from datetime import timedelta
 from typing import Final
 
-from chiveworks.base import Clock, WorkerId
+from chiveworks.base import Clock, Resources, WorkerId
 from chiveworks.dispatch._interference_model import InterferenceModel
 from chiveworks.dispatch._orders import Orders
 from chiveworks.dispatch._placer import Placer
-from chiveworks.dispatch._room_checks import fits
+from chiveworks.dispatch._room_checks import NO_RESOURCES, fits
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
-from chiveworks.workflow import StepRun, Task, TaskState
+from chiveworks.workflow import StepRun, StepSpec, Task, TaskState
 
 #: Interval at which moves are planned.
 CHECK_INTERVAL: Final = timedelta(milliseconds=400)
@@ -47,6 +47,9 @@
     worker with a matching majority, or exchanged with a misplaced task there, at most
     one task per step at a time.
 
+    A move keeps room unused until its task has been stopped and starts again. No move
+    begins if an interrupted lasting task would fit there.
+
     Args:
         clock: Source of time.
         log: Event log for moves.
@@ -55,6 +58,8 @@
         placer: Tells which workers accept tasks.
         model: Interference model.
         filling_tasks_wait: Tells whether filling tasks are waiting for capacity.
+        smallest_interrupted: Returns the smallest lasting step that waits for room after
+            a run has ended, if there is one.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         placer: Placer,
         model: InterferenceModel,
         filling_tasks_wait: Callable[[], bool],
+        smallest_interrupted: Callable[[], StepSpec | None],
     ) -> None:
         self._clock = clock
         self._log = log
@@ -74,6 +80,8 @@
         self._placer = placer
         self._model = model
         self._filling_tasks_wait = filling_tasks_wait
+        self._smallest_interrupted = smallest_interrupted
+        self._interrupted: StepSpec | None = None
         self._checked_at = timedelta()
         self._moves: dict[StepRun, _Move] = {}
         self._moved_at: dict[Task, timedelta] = {}
@@ -103,6 +111,7 @@
             self._moved_at.pop(task)
 
     def _begin_moves(self, now: timedelta) -> None:
+        self._interrupted = self._smallest_interrupted()
         majorities = {
             worker: image
             for worker in self._placer.available_workers()
@@ -130,7 +139,7 @@
     ) -> None:
         source = self._workers[task.worker or WorkerId('')]
         for target in self._suitable_targets(task, majorities):
-            if fits(target, task.spec):
+            if fits(target, task.spec) and not self._is_wanted(target):
                 self._move(task, source, target, now)
                 return
         for target in self._suitable_targets(task, majorities):
@@ -166,9 +175,21 @@
                 and self._placer.may_take(source, other)
                 and fits(target, task.spec, without=other.spec.demand)
                 and fits(source, other.spec, without=task.spec.demand)
+                and not self._is_wanted(target, other.spec.demand)
+                and not self._is_wanted(source, task.spec.demand)
             ):
                 yield other
 
+    def _is_wanted(self, worker: WorkerView, freed: Resources = NO_RESOURCES) -> bool:
+        """Tells whether an interrupted task could use the room on a worker.
+
+        Args:
+            worker: The worker.
+            freed: Claims on the worker that a move frees.
+        """
+        spec = self._interrupted
+        return spec is not None and fits(worker, spec, without=freed)
+
     def _move(
         self, task: Task, source: WorkerView, target: WorkerView, now: timedelta
     ) -> None:
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -163,6 +163,7 @@
             placer,
             self.model,
             self.table.filling_tasks_wait,
+            self._assigner.smallest_interrupted,
         )
         self._starvation_guard = StarvationGuard(
             clock,
--- a/chiveworks/dispatch/tests/test_consolidator.py
+++ b/chiveworks/dispatch/tests/test_consolidator.py
@@ -39,6 +39,7 @@
         }
         self.workers = {}
         self.stopped = []
+        self.interrupted = None
         self.placer = Placer(self.clock, self.workers, lambda zone: False, self.model)
         self.consolidator = Consolidator(
             self.clock,
@@ -48,6 +49,7 @@
             self.placer,
             self.model,
             lambda: True,
+            lambda: self.interrupted,
         )
 
     def stop(self, task, _reason):
@@ -172,3 +174,27 @@
     fleet.clock.shift(timedelta(seconds=2))
     candidates = [fleet.workers[WorkerId('w1')]]
     assert fleet.placer.choose(steady, candidates).worker_id == 'w1'
+
+
+@pytest.mark.parametrize(
+    ('cores', 'moves'), [(4, 0), (6, 0), (7, 2)], ids=['smaller', 'as_large', 'larger']
+)
+def test_no_exchange_empties_room_that_an_interrupted_task_lacks(fleet, cores, moves):
+    """Guards against room that stays unused for an exchange while a lasting task waits
+    for it after the loss of its worker."""
+    fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady', 'fast')
+    fleet.interrupted = StepSpec(1, Resources(1000 * cores, 1), long_running=True)
+    fleet.check()
+    assert len(fleet.stopped) == moves
+
+
+@pytest.mark.parametrize(('cores', 'moves'), [(4, 0), (7, 1)])
+def test_no_move_takes_room_that_an_interrupted_task_lacks(fleet, cores, moves):
+    """Guards against a move to the only worker with room for a lasting task that waits
+    after the loss of its worker."""
+    fleet.worker('w1', 'fast', 'steady')
+    fleet.worker('w2', 'steady')
+    fleet.interrupted = StepSpec(1, Resources(1000 * cores, 1), long_running=True)
+    fleet.check()
+    assert len(fleet.stopped) == moves
