Act on a lapsed lease at the next tick instead of after a failed poll

Cause: the lapse was checked only after a failed poll. A worker that the term has not reached and that is not listed is polled every 0.5 s, and a poll without a response takes 0.5 s.

Change: the periodic check of the leases (every 50 ms) releases the runs of all silent workers whose leases have lapsed. A poll that is under way does not extend the lease of a silent worker; if it still returns a run that has been released, the run is withdrawn, as any run that matches no claim.

Figures: test_a_lapsed_lease_is_noticed_at_once[False] fails before, passes after.

--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -145,6 +145,12 @@
             task for worker_id in lapsed for task in self._orphans.pop(worker_id)[1]
         ]
 
+    def check_lapses(self) -> None:
+        """Releases the runs of silent workers whose leases have certainly lapsed."""
+        for worker in tuple(self.workers.values()):
+            if worker.tasks and not worker.live:
+                self.sessions[worker.worker_id].check_lapse()
+
     def unreached_leases(self) -> dict[WorkerId, WorkerLease]:
         """Returns the leases of the workers that have runs and are out of reach."""
         leases = {worker_id: lease for worker_id, (lease, _) in self._orphans.items()}
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -355,6 +355,7 @@
             self._wake.set()
 
     def _check_leases(self) -> None:
+        self.fleet.check_lapses()
         self.tracker.release_orphans(self.fleet.lapsed_orphans())
         self.leases.check(self.fleet.unreached_leases())
 
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -87,7 +87,6 @@
                 wait = await self._pause_after_report()
             else:
                 wait = timedelta()
-                self._check_lapse()
                 await self._pause(self._retry_pause())
 
     async def _poll_contained(self, wait: timedelta) -> bool:
@@ -188,9 +187,10 @@
             fields['leaves_in_s'] = None if left is None else left.total_seconds()
         self._log.write(event, worker=worker.worker_id, **fields)
 
-    def _check_lapse(self) -> None:
+    def check_lapse(self) -> None:
+        """Releases the runs if the lease of the silent worker has certainly lapsed."""
         worker = self._worker
-        if worker.tasks and worker.lease.lapsed(self._clock.monotonic()):
+        if worker.lease.lapsed(self._clock.monotonic()):
             self._tracker.record_lapse(worker)
             self._tracker.release_all(worker, 'the lease of the worker has lapsed')
 
--- a/chiveworks/dispatch/tests/test_leases_across_terms.py
+++ b/chiveworks/dispatch/tests/test_leases_across_terms.py
@@ -255,3 +255,24 @@
     linked.cuts.update((process, name) for process in names)
     await check_one_run(linked, 12)
     assert linked.running_on()
+
+
+@pytest.mark.parametrize('listed', [False, True])
+async def test_a_lapsed_lease_is_noticed_at_once(linked, listed):
+    """Guards against a lasting task that waits for the end of a poll, and for the pause
+    after it, although the lease of its worker has lapsed."""
+    terms = Terms(linked)
+    terms.add(PROCESSES)
+    await terms.wait_for_leader()
+    await linked.submit(REF.job_id, STEP)
+    (name,) = linked.running_on()
+    await linked.wait(1)
+    lose(linked, name, announced=not listed)
+    await linked.wait(2)
+    await terms.end(killed=False)
+    await terms.wait_for_leader()
+    fleet = linked.leaders[terms.leader()].scheduler.fleet
+    (lease,) = fleet.unreached_leases().values()
+    left = lease.time_left(linked.clock.monotonic())
+    await linked.wait(left.total_seconds() + 0.1)
+    assert not fleet.unreached_leases()
