Do not stretch the pause after a brief extension of a lease

What callers would see: runs of a worker that responds end as lapsed, if a term begins while the store refuses writes for longer than a lease and the leader is late (AVAIL).

Cause: a leader that is late stretches the pause between polls up to 0.6 s.

Change: the pause after a poll that extended the lease briefly is not stretched.

--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -69,6 +69,7 @@
         self._reported = reported
         self._load = load
         self._wake = asyncio.Event()
+        self._extended_briefly = False
         self.frequent_polling = False
 
     def wake(self) -> None:
@@ -124,6 +125,7 @@
 
     def _extend_lease(self, now: timedelta) -> timedelta | None:
         lease = self._worker.lease
+        self._extended_briefly = lease.frozen
         return lease.extend_briefly(now) if lease.frozen else lease.extend(now)
 
     def _apply_report(self, report: WorkerReport, polled_at: timedelta) -> None:
@@ -200,8 +202,10 @@
 
     async def _pause_after_report(self) -> timedelta:
         """Pauses before the next poll; returns how long that poll may wait."""
-        await self._pause(self._load.stretch(POLL_GAP))
         worker = self._worker
+        # A stretched pause could be longer than a brief extension of the lease.
+        brief = self._extended_briefly
+        await self._pause(POLL_GAP if brief else self._load.stretch(POLL_GAP))
         started_at = self._clock.monotonic()
         while worker.unacknowledged and worker.acknowledge() < worker.applied_end:
             # A poll returns immediately while ends are not acknowledged.
