Move the inherited leases out of the record's owner

LeaseHandover both took over the record of an earlier term and owned that of its own. The former is InheritedLeases now, in a file of its own.

--- a/chiveworks/dispatch/_lease_handover.py
+++ b/chiveworks/dispatch/_lease_handover.py
@@ -7,16 +7,12 @@
 from weakref import WeakValueDictionary
 
 from chiveworks.base import Clock, WorkerId
-from chiveworks.dispatch._lease_record import LeaseRecord, decode_leases
+from chiveworks.dispatch._inherited_leases import InheritedLeases
+from chiveworks.dispatch._lease_record import LeaseRecord
 from chiveworks.dispatch._progress_writer import ProgressWriter
-from chiveworks.dispatch._worker_lease import (
-    BRIEF_LAPSE,
-    CLOCK_DRIFT,
-    WorkerLease,
-    time_to_lapse,
-)
+from chiveworks.dispatch._worker_lease import BRIEF_LAPSE, WorkerLease
 from chiveworks.events import EventLog
-from chiveworks.metastore import LEASES_KEY, LastWriter, Term
+from chiveworks.metastore import LEASES_KEY, Term
 
 #: Time for which a worker has to be out of reach before it is recorded. A short loss of
 #: contact then does not freeze its lease.
@@ -66,9 +62,7 @@
         self._log = log
         self._writer = writer
         self._lease_limit = lease_limit
-        # When the leases that an earlier term may have extended have certainly lapsed.
-        self._inherited: dict[WorkerId, timedelta] = {}
-        self._default_lapses_at = clock.monotonic() + time_to_lapse(lease_limit)
+        self._inherited = InheritedLeases(clock, log, lease_limit)
         self._leases: WeakValueDictionary[WorkerId, WorkerLease] = WeakValueDictionary()
         # Whether the stored record may give a time for workers that it does not name.
         self._all_frozen = True
@@ -82,34 +76,8 @@
 
     def inherit(self, stored: bytes | None) -> None:
         """Takes over the record of an earlier leader, which has just been read."""
-        now = self._clock.monotonic()
         self._recovering = True
-        self._default_lapses_at = now + time_to_lapse(self._lease_limit)
-        if stored is None:
-            return
-        try:
-            record = decode_leases(stored)
-        except ValueError as error:
-            self._log.write('entry_skipped', key=LEASES_KEY, reason=str(error))
-            return
-        last_writer = self._term.last_writer
-        if record.token != last_writer.token:
-            self._log.write('leases_outdated', token=record.token)
-            return
-        self._inherited = {
-            worker_id: _lapses_at(record, left, now, last_writer)
-            for worker_id, left in record.times_left.items()
-        }
-        if record.default_left is None:
-            # A later term that has not written has extended leases only briefly.
-            ended_at = last_writer.ended_at or now
-            lapses_at = ended_at + time_to_lapse(self._lease_limit)
-            self._default_lapses_at = max(lapses_at, now + BRIEF_LAPSE)
-        else:
-            self._default_lapses_at = _lapses_at(
-                record, record.default_left, now, last_writer
-            )
-        self._log_inherited(record, now)
+        self._inherited.read(stored, self._term.last_writer)
 
     async def confirm(self) -> None:
         """Stores the inherited times as the record of this term, as its first write.
@@ -132,9 +100,7 @@
         """Returns the lease of a worker that this leader has not extended yet."""
         # This leader may have extended a lease that it opens again.
         lapses_at = (
-            None
-            if worker_id in self._opened
-            else self._inherited.get(worker_id, self._default_lapses_at)
+            None if worker_id in self._opened else self._inherited.lapses_at(worker_id)
         )
         lease = WorkerLease(self._lease_limit, self._clock.monotonic(), lapses_at)
         self._opened.add(worker_id)
@@ -174,12 +140,9 @@
 
     def _encode_inherited(self, now: timedelta) -> bytes:
         # Workers that have been reached may have been extended briefly since.
-        times_left = {
-            worker_id: lapses_at - now
-            for worker_id, lapses_at in self._inherited.items()
-        }
+        times_left = self._inherited.times_left(now)
         times_left.update(_times_left(self._leases, now))
-        return self._encode(times_left, now, self._default_lapses_at - now)
+        return self._encode(times_left, now, self._inherited.default_left(now))
 
     def _encode(
         self,
@@ -225,32 +188,6 @@
         if lease is not None:
             lease.frozen = frozen
 
-    def _log_inherited(self, record: LeaseRecord, now: timedelta) -> None:
-        longest = max(self._inherited.values(), default=now) - now
-        self._log.write(
-            'leases_inherited',
-            token=record.token,
-            workers=len(self._inherited),
-            longest_left_s=longest.total_seconds(),
-            default_left_s=(self._default_lapses_at - now).total_seconds(),
-            default_recorded=record.default_left is not None,
-        )
-
-
-def _lapses_at(
-    record: LeaseRecord, left: timedelta, now: timedelta, last_writer: LastWriter
-) -> timedelta:
-    """Returns when a lease with a recorded time left has certainly lapsed."""
-    if not left:
-        return now
-    lapses_at = now + left
-    if record.term_age is not None:
-        # The clocks of the two processes may differ in speed.
-        age = record.term_age / (1 - CLOCK_DRIFT)
-        lapses_at = min(lapses_at, last_writer.begun_at + age + left)
-    # A later term that has not written may have extended the lease briefly.
-    return max(lapses_at, now + BRIEF_LAPSE)
-
 
 def _times_left(
     leases: Mapping[WorkerId, WorkerLease], now: timedelta
