--- a/chiveworks/metastore/_term_history.py
+++ b/chiveworks/metastore/_term_history.py
@@ -13,8 +13,6 @@
 #: Share by which the clocks of two processes may differ in speed.
 CLOCK_DRIFT: Final = 0.02
 
-_ZERO: Final = timedelta()
-
 
 class TermHistory:
     """Times at which this process has seen terms in the store, by fencing token.
