Give no work to a worker in whose place another one responds

Cause: a 421 to a poll released the runs, but the worker still counted as responding, so it was chosen again and again until its entry expired. Each poll meanwhile counted the claims that were under way as runs under which it had crashed; such tasks start one at a time, and the third crash ends the job.

Ruled out: leases (none lapsed) and quarantines.

Change: a 421, to a poll or to a start, ends the contact with the worker until a poll of it succeeds. A start that is under way is left to its own outcome instead of being counted.

Runs are released no earlier than before. Suspects whose start got no response still count; the tests of tasks that crash workers pass unchanged.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -28,6 +28,9 @@
 #: Outcomes after which a stop is not retried.
 _LAST_STOP_OUTCOMES = _CERTAINLY_STOPPED | {OrderOutcome.FENCED}
 
+#: Outcomes of a start after which the task prefers other workers.
+_AVOIDED_OUTCOMES = frozenset((OrderOutcome.GONE, OrderOutcome.INVALID))
+
 
 class Orders:
     """Sends orders to workers with the fencing token of the term.
@@ -177,7 +180,10 @@
             worker.quarantined_until = now + UNHEALTHY_PAUSE
         elif outcome is OrderOutcome.NO_ROOM:
             worker.quarantined_until = now + ROOM_PAUSE
-        elif outcome in {OrderOutcome.GONE, OrderOutcome.INVALID}:
+        elif outcome is OrderOutcome.GONE:
+            # The next poll shows whether the worker is still gone.
+            worker.lose_contact(now)
+        if outcome in _AVOIDED_OUTCOMES:
             task.avoided_workers.add(worker.worker_id)
 
     async def _stop(self, task: Task, worker: WorkerView, attempt: int) -> None:
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -115,10 +115,7 @@
             await self._handle_silence(str(result.err_value))
             return False
         if result.ok_value is None:
-            self._tracker.record_crash(worker, tuple(worker.tasks.values()))
-            self._tracker.release_all(
-                worker, 'another incarnation of the worker responded'
-            )
+            self._handle_replacement()
             return False
         self._apply_report(result.ok_value, polled_at)
         return True
@@ -166,13 +163,27 @@
                 self._tracker.release(worker, task, 'the worker has restarted')
         worker.restart(report.born_ms, now)
 
+    def _handle_replacement(self) -> None:
+        """Releases the runs of a worker in whose place another one responds.
+
+        Pending starts are left to their own outcomes: one that the other worker refuses
+        never ran, so it cannot have crashed this one.
+        """
+        worker = self._worker
+        lost = [task for task in worker.tasks.values() if not task.start_pending]
+        self._tracker.record_crash(worker, lost)
+        for task in lost:
+            self._tracker.release(
+                worker, task, 'another incarnation of the worker responded'
+            )
+        now = self._clock.monotonic()
+        if worker.lose_contact(now):
+            self._log_contact('worker_replaced', now, runs=len(lost))
+
     async def _handle_silence(self, reason: str) -> None:
         worker = self._worker
         now = self._clock.monotonic()
-        if worker.live or worker.lease.lost_at is None:
-            worker.lease.lost_at = now
-        if worker.live:
-            worker.live = False
+        if worker.lose_contact(now):
             self._log_contact(
                 'worker_silent',
                 now,
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -111,6 +111,14 @@
         self.spare_headroom = spare_headroom
         self.version += 1
 
+    def lose_contact(self, now: timedelta) -> bool:
+        """Records that the worker does not respond; returns whether it did before."""
+        was_live = self.live
+        if was_live or self.lease.lost_at is None:
+            self.lease.lost_at = now
+        self.live = False
+        return was_live
+
     def acknowledge(self) -> int:
         """Returns the number of the last end up to which all effects are durable."""
         pending = self.unacknowledged
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -108,6 +108,11 @@
         """Whether the task occupies capacity on a worker."""
         return TaskState.CLAIMED <= self.state <= TaskState.STOPPING
 
+    @property
+    def start_pending(self) -> bool:
+        """Whether a start of the current run is under way, without an outcome so far."""
+        return self.state is TaskState.CLAIMED and self.sent and self.started_at is None
+
     def claim(
         self, worker: WorkerId, worker_born_ms: int = 0, worker_address: str = ''
     ) -> None:
