Ask for advice about further workers while the allowed ones are full

Tickets for full workers kept a step from asking for others.

Evidence: one call for advice for each step in the record of the case. Ruled out: the policy (it answers within 35 ms) and reservations (none).

Change: while tasks of a step find no room on the workers with tickets, the policy is asked about further workers that have room; those with room are named first; a worker whose own ticket has expired is asked about again.

Risk: more calls. Starts need the same tickets as before.

--- a/chiveworks/dispatch/_advice.py
+++ b/chiveworks/dispatch/_advice.py
@@ -9,6 +9,7 @@
 from result import Err, Result
 
 from chiveworks.base import Clock, Failure, JobId, WorkerId
+from chiveworks.dispatch._room_checks import fits
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.workflow import Job, StepRun, Task
@@ -59,6 +60,17 @@
     tickets: dict[WorkerId, tuple[str, timedelta]] = field(default_factory=dict)
     waiting: bool = False
 
+    def permits(self, worker: WorkerView, now: timedelta) -> bool:
+        """Whether there is a valid ticket for a worker."""
+        ticket = self.tickets.get(worker.worker_id)
+        return ticket is not None and now < ticket[1]
+
+    def is_open(self, worker: WorkerView, now: timedelta) -> bool:
+        """Whether the policy has not answered for a worker, or its ticket has expired."""
+        if worker.worker_id in self.tickets:
+            return not self.permits(worker, now)
+        return worker.worker_id not in self.asked
+
 
 class TicketCache:
     """Requests tickets for one step at a time and caches them.
@@ -80,15 +92,35 @@
         """Returns the workers with a valid ticket; requests tickets if none has one."""
         cached = self._by_step.setdefault(run, _StepTickets())
         now = self._clock.monotonic()
-        permitted = [
+        permitted = [worker for worker in workers if cached.permits(worker, now)]
+        if not permitted and workers and not cached.waiting:
+            unanswered = [worker for worker in workers if cached.is_open(worker, now)]
+            if not unanswered:
+                # The policy allows none of them: it is asked about all workers again.
+                cached.asked.clear()
+            self._request_tickets(run, cached, unanswered or workers)
+        return permitted
+
+    def request_more(self, run: StepRun, workers: list[WorkerView]) -> None:
+        """Requests tickets for further workers with room for a task of a step.
+
+        Call it when tasks of the step found no room on the allowed workers.
+
+        Args:
+            run: Step whose tasks wait.
+            workers: Workers on which the step may start if the policy allows them.
+        """
+        cached = self._by_step.setdefault(run, _StepTickets())
+        if cached.waiting:
+            return
+        now = self._clock.monotonic()
+        roomy = [
             worker
             for worker in workers
-            if worker.worker_id in cached.tickets
-            and now < cached.tickets[worker.worker_id][1]
+            if cached.is_open(worker, now) and fits(worker, run.spec)
         ]
-        if not permitted and not cached.waiting:
-            self._request_tickets(run, cached, workers)
-        return permitted
+        if roomy:
+            self._request_tickets(run, cached, roomy)
 
     def ticket(self, task: Task) -> str:
         """Returns the ticket for a claimed task; empty when there is none."""
@@ -126,16 +158,11 @@
     def _request_tickets(
         self, run: StepRun, cached: _StepTickets, workers: list[WorkerView]
     ) -> None:
-        names = [worker.worker_id for worker in workers]
-        unasked = [name for name in names if name not in cached.asked]
-        if not unasked:
-            # The policy's answer for a worker does not change, but tickets expire, so
-            # all workers are asked about again.
-            cached.asked.clear()
-            unasked = names
-        if unasked:
-            cached.waiting = True
-            self._requests.put_nowait((run, unasked[:WORKERS_PER_CALL]))
+        """Queues a request about as many workers as fit, those with room first."""
+        by_room = sorted(workers, key=lambda worker: not fits(worker, run.spec))
+        names = [worker.worker_id for worker in by_room[:WORKERS_PER_CALL]]
+        cached.waiting = True
+        self._requests.put_nowait((run, names))
 
     def _store_tickets(
         self,
--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -159,6 +159,8 @@
         left = run.waiting()
         if left:
             self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
+            if run.job.queue.advised:
+                self._tickets.request_more(run, self._placer.candidates(run, service))
             if _unconstrained(run) and any(map(self._placer.searches_all, left)):
                 unplaced.add(run.spec, may_wait=self._may_wait(left))
         else:
