Bind starts, acknowledgements and leases to the life of a worker

Cause: numbers of ends and the clock begin anew with each life, and the header of a call names the id only. A poll with the acknowledgement for the former life takes note of ends of the new one unseen, on arrival or while it waits; the leader then releases their runs as lost.

Change: polls that acknowledge or extend, and starts, only go over a connection on which the life that they are meant for has responded, since a connection ends with the process that accepted it. The first poll on a connection does nothing but ask.

In-memory workers number the ends of each life from 1 again, and record the ends that come while a poll with a higher acknowledgement waits.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from chiveworks.base import Clock, WorkerId
+from chiveworks.dispatch._crash_suspicion import is_of_earlier_life
 from chiveworks.dispatch._worker_control import OrderOutcome, StartOrder
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
@@ -137,6 +138,8 @@
     async def _send_start(
         self, task: Task, worker: WorkerView, ticket: str
     ) -> OrderOutcome:
+        if is_of_earlier_life(task, worker):
+            return OrderOutcome.GONE
         lease_end = worker.lease.extend(self._clock.monotonic())
         if lease_end is None:
             return OrderOutcome.UNHEALTHY
@@ -148,6 +151,7 @@
             self._term.token,
             task.checkpoint,
             ticket,
+            task.worker_born_ms,
         )
         return await self._outcome(worker.control.start(order), worker, task.ref)
 
@@ -180,7 +184,7 @@
             worker.quarantined_until = now + UNHEALTHY_PAUSE
         elif outcome is OrderOutcome.NO_ROOM:
             worker.quarantined_until = now + ROOM_PAUSE
-        elif outcome is OrderOutcome.GONE:
+        elif outcome is OrderOutcome.GONE and not is_of_earlier_life(task, worker):
             # The next poll shows whether the worker is still gone.
             worker.lose_contact(now)
         if outcome in _AVOIDED_OUTCOMES:
--- a/chiveworks/dispatch/_worker_control.py
+++ b/chiveworks/dispatch/_worker_control.py
@@ -116,6 +116,8 @@
         token: Fencing token.
         checkpoint: Checkpoint to resume from; empty to start from the beginning.
         ticket: Ticket of the queue's external policy; empty when not needed.
+        born_ms: Start time of the incarnation that may execute the order; 0 when
+            unknown.
     """
 
     ref: TaskRef
@@ -125,13 +127,17 @@
     token: Epoch
     checkpoint: str = ''
     ticket: str = ''
+    born_ms: int = 0
 
 
 class WorkerControl(Protocol):
     """Client of one worker."""
 
     async def start(self, order: StartOrder) -> OrderOutcome:
-        """Starts a run; also accepted when that run is already there."""
+        """Starts a run; also accepted when that run is already there.
+
+        No other incarnation executes the order than the one that it names.
+        """
 
     async def stop(self, ref: TaskRef, attempt: int, token: Epoch) -> OrderOutcome:
         """Stops a run; a run that has not started yet is refused from then on."""
@@ -147,14 +153,20 @@
         acknowledged: int,
         lease_end: timedelta | None,
         wait: timedelta,
+        born_ms: int = 0,
     ) -> Result[WorkerReport | None, Failure]:
         """Polls the worker: extends its lease, acknowledges ends, awaits the next one.
 
+        Numbers of ends and the clock begin anew with each incarnation. Until the one
+        that is named has responded, polls only ask for the report, at once.
+
         Args:
             token: Fencing token.
             acknowledged: Number of the last end that is acknowledged.
             lease_end: New lease end on the worker's clock; None to not extend it.
             wait: Maximum time to wait for an end that is not acknowledged.
+            born_ms: Start time of the incarnation to which `acknowledged` and
+                `lease_end` apply; 0 when unknown.
 
         Returns:
             The worker's report; None when another incarnation responded, so that the
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -109,7 +109,11 @@
         extends = worker.live and self._term.valid
         lease_end = self._extend_lease(polled_at) if extends else None
         result = await worker.control.poll(
-            self._term.token, worker.acknowledge(), lease_end, wait
+            self._term.token,
+            worker.acknowledge(),
+            lease_end,
+            wait,
+            worker.born_ms,
         )
         if isinstance(result, Err):
             await self._handle_silence(str(result.err_value))
@@ -155,7 +159,7 @@
         lost = [
             task
             for task in worker.tasks.values()
-            if (task.ref, task.attempt) not in known
+            if (task.ref, task.attempt) not in known and not task.start_pending
         ]
         self._tracker.record_crash(worker, lost)
         for task in lost:
--- a/chiveworks/dispatch/tests/crashing_workers.py
+++ b/chiveworks/dispatch/tests/crashing_workers.py
@@ -46,10 +46,10 @@
         self._name = name
         self._crash_due = False
 
-    async def poll(self, token, acknowledged, lease_end, wait):
+    async def poll(self, token, acknowledged, lease_end, wait, born_ms=0):
         if self.replaced:
             return Ok(None)
-        return await super().poll(token, acknowledged, lease_end, wait)
+        return await super().poll(token, acknowledged, lease_end, wait, born_ms)
 
     def lose_runs(self):
         """Ends all runs and forgets everything, as the end of an incarnation does."""
@@ -58,6 +58,7 @@
         self._crash_due = False
         self._runs.clear()
         self._ends.clear()
+        self._end_count = 0
         self._highest_ended_attempt.clear()
 
     def end(self, ref, kind):
--- a/chiveworks/dispatch/tests/faulty_links.py
+++ b/chiveworks/dispatch/tests/faulty_links.py
@@ -139,11 +139,11 @@
             return OrderOutcome.UNKNOWN
         return await self._runner.set_pace(ref, attempt, percent, token)
 
-    async def poll(self, token, acknowledged, lease_end, wait):
+    async def poll(self, token, acknowledged, lease_end, wait, born_ms=0):
         """Polls the worker."""
         if self.is_cut:
             return _no_response()
-        report = await self._runner.poll(token, acknowledged, lease_end, wait)
+        report = await self._runner.poll(token, acknowledged, lease_end, wait, born_ms)
         return _no_response() if self._is_lost() else report
 
     async def reset(self):
--- a/chiveworks/dispatch/tests/observed_runner.py
+++ b/chiveworks/dispatch/tests/observed_runner.py
@@ -118,6 +118,7 @@
     def __init__(self, clock, observer, name):
         super().__init__(clock)
         self.replaced = False
+        self._waiting_acknowledgement = 0
         self._observer = observer
         self._name = name
 
@@ -135,6 +136,7 @@
         self._lease_end = timedelta()
         self._runs.clear()
         self._ends.clear()
+        self._end_count = 0
         self._highest_ended_attempt.clear()
 
     def attempts(self):
@@ -142,14 +144,20 @@
         self._end_due_runs()
         return {ref: run.attempt for ref, run in self._runs.items()}
 
-    async def poll(self, token, acknowledged, lease_end, wait):
+    async def poll(self, token, acknowledged, lease_end, wait, born_ms=0):
         """Polls the worker as a leader does."""
         if self.reachable and self.replaced:
             return Ok(None)
+        if born_ms not in {0, self.born_ms}:
+            acknowledged = 0
         if self.reachable and token >= self.token:
             self.check_lapse()
             self._observer.record_acknowledgement(self._name, acknowledged)
-        return await super().poll(token, acknowledged, lease_end, wait)
+            self._waiting_acknowledgement = acknowledged
+        try:
+            return await super().poll(token, acknowledged, lease_end, wait, born_ms)
+        finally:
+            self._waiting_acknowledgement = 0
 
     def _start(self, order):
         if self.replaced:
@@ -168,5 +176,9 @@
 
     def _end(self, ref, kind):
         super()._end(ref, kind)
+        number = self._ends[-1].number
         if kind is EndKind.DONE:
-            self._observer.record_done(self._name, ref, self._ends[-1].number)
+            self._observer.record_done(self._name, ref, number)
+        if number <= self._waiting_acknowledgement:
+            # The poll that waits for an end has already acknowledged this one.
+            self._observer.record_acknowledgement(self._name, number)
--- a/chiveworks/platform/_channel.py
+++ b/chiveworks/platform/_channel.py
@@ -10,6 +10,7 @@
 from chiveworks.base._http_outcome import unusable_response
 from chiveworks.platform._fields import parse_json
 from chiveworks.platform._http_pool import HttpPool
+from chiveworks.platform._peer_check import PeerCheck
 
 #: Default limit of the connections to one address. Each takes a descriptor.
 MAX_CONNECTIONS: Final = 256
@@ -51,6 +52,7 @@
         body: object = None,
         timeout: timedelta | None = None,
         writes: bool = True,
+        check: PeerCheck | None = None,
     ) -> Result[Reply, Failure]:
         """Sends one call.
 
@@ -62,6 +64,7 @@
             body: Request body, encoded as JSON.
             timeout: Timeout of this call instead of the default.
             writes: Whether the call may have an effect.
+            check: Makes sure that the expected incarnation executes the call.
 
         Returns:
             The status and the decoded body of the response.
@@ -74,6 +77,7 @@
             body=b'' if body is None else orjson.dumps(body),
             timeout=timeout or self._timeout,
             writes=writes,
+            check=check,
         )
         if isinstance(result, Err):
             return result
--- a/chiveworks/platform/_http_connection.py
+++ b/chiveworks/platform/_http_connection.py
@@ -22,11 +22,13 @@
 
     Attributes:
         released_at: Time of the event loop at which the connection was last released.
+        peer_id: Incarnation of the server at the other end; None before it is known.
     """
 
     def __init__(self) -> None:
         self._usable = False
         self.released_at: float = 0
+        self.peer_id: int | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[HttpResponse] | None = None
--- a/chiveworks/platform/_http_pool.py
+++ b/chiveworks/platform/_http_pool.py
@@ -13,6 +13,7 @@
 from chiveworks.base._http_response import HttpResponse
 from chiveworks.platform._deadline_timer import DeadlineTimer
 from chiveworks.platform._http_connection import HttpConnection, ResponseLostError
+from chiveworks.platform._peer_check import PeerCheck
 
 #: Timeout for opening a connection, which takes a few ms within a region.
 CONNECT_TIMEOUT: Final = timedelta(milliseconds=400)
@@ -58,6 +59,7 @@
         body: bytes,
         timeout: timedelta,
         writes: bool,
+        check: PeerCheck | None = None,
     ) -> Result[HttpResponse, Failure]:
         """Sends a request without retries and reads the whole response.
 
@@ -70,6 +72,7 @@
             timeout: Total time limit.
             writes: Whether the request has an effect. A failed read has none, so its
                 verdict is always "not run".
+            check: Makes sure that the expected incarnation executes the request.
 
         Returns:
             The response, or a failure if there is none or its status is 429 or 5xx.
@@ -81,7 +84,11 @@
                 message = 'no connection became free in time'
                 return Err(Failure.not_run(Step.CONNECT, self._peer, message))
             return await self._call(
-                self._encode(method, path, query, body), step, deadline, writes=writes
+                self._encode(method, path, query, body),
+                step,
+                deadline,
+                writes=writes,
+                check=check,
             )
 
     def close(self) -> None:
@@ -96,22 +103,46 @@
         return f'http://{self._address}'
 
     async def _call(
-        self, request: bytes, step: Step, deadline: float, *, writes: bool
+        self,
+        request: bytes,
+        step: Step,
+        deadline: float,
+        *,
+        writes: bool,
+        check: PeerCheck | None,
     ) -> Result[HttpResponse, Failure]:
         try:
-            connection = await self._acquire(deadline)
+            connection = await self._acquire(deadline, check)
         except _CONNECT_ERRORS as error:
             return Err(Failure.not_run(Step.CONNECT, self._peer, _describe(error)))
         sent_at = asyncio.get_running_loop().time()
         timer = DeadlineTimer(deadline, partial(self._give_up, connection, sent_at))
+        may_have_run = False
         try:
-            response = await connection.send(request)
+            response = await self._check_peer(connection, check)
+            if response is None:
+                may_have_run = writes
+                response = await connection.send(request)
         except ResponseLostError as error:
-            return Err(request_failure(step, self._peer, str(error), writes=writes))
+            return Err(
+                request_failure(step, self._peer, str(error), writes=may_have_run)
+            )
         finally:
             timer.cancel()
             self._release(connection)
-        return check_status(response, step, self._peer, writes=writes)
+        return check_status(response, step, self._peer, writes=may_have_run)
+
+    async def _check_peer(
+        self, connection: HttpConnection, check: PeerCheck | None
+    ) -> HttpResponse | None:
+        """Returns the response to a check that takes the place of the request, if any."""
+        if check is None or connection.peer_id == check.expected:
+            return None
+        response = await connection.send(
+            self._encode('POST', check.path, None, check.body)
+        )
+        connection.peer_id = check.identify(response)
+        return check.answer(response, connection.peer_id)
 
     def _give_up(self, connection: HttpConnection, sent_at: float) -> None:
         """Closes a connection without a response, and the idle ones like it.
@@ -126,11 +157,13 @@
                 suspect.close()
         self._idle = kept
 
-    async def _acquire(self, deadline: float) -> HttpConnection:
+    async def _acquire(
+        self, deadline: float, check: PeerCheck | None
+    ) -> HttpConnection:
         loop = asyncio.get_running_loop()
         oldest = loop.time() - IDLE_TIMEOUT.total_seconds()
         while self._idle:
-            connection = self._idle.pop()
+            connection = self._idle.pop(self._best_idle(check))
             if connection.idle and connection.released_at >= oldest:
                 self._busy.add(connection)
                 return connection
@@ -147,6 +180,18 @@
         self._busy.add(connection)
         return connection
 
+    def _best_idle(self, check: PeerCheck | None) -> int:
+        """Returns the index of the idle connection to use, if possible a checked one."""
+        last = len(self._idle) - 1
+        if check is None:
+            return last
+        checked = (
+            index
+            for index in range(last, -1, -1)
+            if self._idle[index].peer_id == check.expected
+        )
+        return next(checked, last)
+
     def _release(self, connection: HttpConnection) -> None:
         self._busy.discard(connection)
         if connection.idle and not self._closed:
--- a/chiveworks/platform/_worker_client.py
+++ b/chiveworks/platform/_worker_client.py
@@ -4,9 +4,11 @@
 from types import MappingProxyType
 from typing import Final
 
+import orjson
 from result import Err, Ok, Result
 
 from chiveworks.base import Epoch, Failure, Step
+from chiveworks.base._http_response import HttpResponse
 from chiveworks.dispatch import (
     OrderOutcome,
     StartOrder,
@@ -14,6 +16,8 @@
     WorkerReport,
 )
 from chiveworks.platform._channel import Channel, Reply
+from chiveworks.platform._fields import parse_json
+from chiveworks.platform._peer_check import PeerCheck
 from chiveworks.platform._worker_reports import decode_report, encode_ref
 from chiveworks.workflow import TaskRef
 
@@ -27,6 +31,7 @@
 #: a few ms.
 CONNECTION_LIMIT: Final = 4
 
+_POLL_PATH = '/v1/hold'
 _OK = 200
 _BAD_REQUEST = 400
 _CONFLICT = 409
@@ -46,7 +51,12 @@
 
 
 class HttpWorker:
-    """Client of one incarnation of a worker.
+    """Client of a worker.
+
+    Polls that acknowledge ends or extend the lease, and starts, only go over connections
+    on which the incarnation that they are meant for has responded. A worker that starts
+    again under its id would execute those of its former life, since the header names
+    the id only.
 
     Args:
         info: Address and id of the worker.
@@ -73,7 +83,8 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return await self._order('/v1/run-start', Step.START, body)
+        check = self._check(order.born_ms, order.token)
+        return await self._order('/v1/run-start', Step.START, body, check)
 
     async def stop(self, ref: TaskRef, attempt: int, token: Epoch) -> OrderOutcome:
         """Stops a run."""
@@ -98,8 +109,12 @@
         acknowledged: int,
         lease_end: timedelta | None,
         wait: timedelta,
+        born_ms: int = 0,
     ) -> Result[WorkerReport | None, Failure]:
-        """Extends the lease and waits for a report of the worker."""
+        """Extends the lease and waits for a report of the worker.
+
+        The first poll on a connection only asks for the report.
+        """
         body: dict[str, object] = {
             'fencing_token': token,
             'last_seen': acknowledged,
@@ -109,10 +124,11 @@
             body['until_ms'] = lease_end // _MILLISECOND
         result = await self._channel.call(
             'POST',
-            '/v1/hold',
+            _POLL_PATH,
             Step.RENEW,
             body=body,
             timeout=wait + POLL_TIMEOUT_MARGIN,
+            check=self._check(born_ms, token, answers_request=True),
         )
         if isinstance(result, Err):
             return result
@@ -133,8 +149,20 @@
         """Closes all connections."""
         await self._channel.close()
 
-    async def _order(self, path: str, step: Step, body: object) -> OrderOutcome:
-        result = await self._channel.call('POST', path, step, body=body)
+    def _check(
+        self, born_ms: int, token: Epoch, *, answers_request: bool = False
+    ) -> PeerCheck:
+        body = orjson.dumps({'fencing_token': token, 'last_seen': 0, 'wait_ms': 0})
+
+        def identify(response: HttpResponse) -> int | None:
+            return _decode_incarnation(response, born_ms)
+
+        return PeerCheck(born_ms, _POLL_PATH, body, identify, answers_request)
+
+    async def _order(
+        self, path: str, step: Step, body: object, check: PeerCheck | None = None
+    ) -> OrderOutcome:
+        result = await self._channel.call('POST', path, step, body=body, check=check)
         if isinstance(result, Err):
             failure = result.err_value
             outcome_unknown = failure.verdict.value == 'outcome_unknown'
@@ -152,3 +180,15 @@
         reason = str(body.get('reason'))
         return _REFUSAL_OUTCOMES.get(reason, OrderOutcome.INVALID)
     return OrderOutcome.INVALID
+
+
+def _decode_incarnation(response: HttpResponse, expected_ms: int) -> int | None:
+    """Returns the start time in a report; the expected one if it does not name any."""
+    if response.status != _OK:
+        return None
+    try:
+        report = decode_report(parse_json(response.body))
+    except ValueError:
+        # The caller names the reason if it has to use this report.
+        return None
+    return report.born_ms or expected_ms
--- a/standins/runners/_memory_runner.py
+++ b/standins/runners/_memory_runner.py
@@ -78,11 +78,14 @@
         self._runs: dict[TaskRef, _Run] = {}
         self._highest_ended_attempt: dict[TaskRef, int] = {}
         self._ends: list[EndRow] = []
+        self._end_count = 0
 
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Starts a run."""
         if self.lose_starts or not self.reachable:
             return OrderOutcome.UNKNOWN
+        if order.born_ms not in {0, self.born_ms}:
+            return OrderOutcome.GONE
         if self.start_delay:
             await self._clock.sleep(self.start_delay)
         outcome = self._start(order)
@@ -125,11 +128,15 @@
         acknowledged: int,
         lease_end: timedelta | None,
         wait: timedelta,
+        born_ms: int = 0,
     ) -> Result[WorkerReport | None, Failure]:
         """Extends the lease and reports current and ended runs."""
+        life = self.born_ms
+        if born_ms not in {0, life}:
+            acknowledged, lease_end, wait = 0, None, timedelta()
         deadline = self._clock.monotonic() + wait
         while True:
-            if not self.reachable:
+            if not self.reachable or self.born_ms != life:
                 return Err(Failure.unknown(Step.RENEW, 'runner', 'no response'))
             self._end_due_runs()
             if token >= self.token:
@@ -142,6 +149,19 @@
                 return Ok(self._report())
             await self._clock.sleep(timedelta(milliseconds=10))
 
+    def restart(self) -> None:
+        """Begins the next incarnation, which runs and knows nothing, under the same id.
+
+        The clock goes on, unlike that of a worker of the platform.
+        """
+        self.born_ms += 1
+        self.token = 0
+        self._runs.clear()
+        self._ends.clear()
+        self._end_count = 0
+        self._lease_end = timedelta()
+        self._highest_ended_attempt.clear()
+
     def leave(self) -> None:
         """Ends all runs without a report and stops responding."""
         self._end_due_runs()
@@ -203,9 +223,9 @@
         self._highest_ended_attempt[ref] = max(
             run.attempt, self._highest_ended_attempt.get(ref, 0)
         )
-        number = len([entry for entry in self.history if entry[0] != 'start']) + 1
+        self._end_count += 1
         self.history.append((kind.value, ref, run.attempt))
-        self._ends.append(EndRow(number, ref, run.attempt, kind, ''))
+        self._ends.append(EndRow(self._end_count, ref, run.attempt, kind, ''))
 
     def _percent(self, run: _Run) -> int:
         if self.stall_runs:
