Extend leases from the last confirmation of the term instead of from now

Cause: a term that cannot reach the store goes on for up to 1.3 s after its key is gone and extended leases by a whole length from then on. The next leader counts a whole lease from the beginning of its own term.

Ruled out: the estimate of the workers' clocks (the tests have one clock).

Change: a lease is extended from the latest time at which the store is known to have held no later term. Writes confirm that; after 1 s without one, a read of the leader key does, and ends the term if the key is gone.

No wait for a lost worker grows.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -122,6 +122,7 @@
             self.scheduler = scheduler
             scheduler.spawn(self._renew(term))
             scheduler.spawn(self._election.watch_term(term))
+            scheduler.spawn(term.keep_confirmed())
             for watch in await self._recover_in_time(term, scheduler):
                 scheduler.spawn(watch)
             await scheduler.run()
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -140,7 +140,7 @@
     ) -> OrderOutcome:
         if is_of_earlier_life(task, worker):
             return OrderOutcome.GONE
-        lease_end = worker.lease.extend(self._clock.monotonic())
+        lease_end = worker.lease.extend(self._term.confirmed_at)
         if lease_end is None:
             return OrderOutcome.UNHEALTHY
         order = StartOrder(
--- a/chiveworks/dispatch/_worker_lease.py
+++ b/chiveworks/dispatch/_worker_lease.py
@@ -86,11 +86,16 @@
         self._observed_at = now
         self._highest_end = timedelta()
 
-    def extend(self, now: timedelta) -> timedelta | None:
-        """Returns the lease end to send at `now`; None if it cannot be extended."""
+    def extend(self, confirmed_at: timedelta) -> timedelta | None:
+        """Returns the lease end to send; None if the lease cannot be extended.
+
+        Args:
+            confirmed_at: Latest known time at which no later term had begun. The next
+                leader counts a whole lease from the beginning of its term.
+        """
         if self.frozen:
             return None
-        return self._extend(self._limit, now)
+        return self._extend(self._limit, confirmed_at)
 
     def extend_briefly(self, now: timedelta) -> timedelta | None:
         """Returns the end to send at `now` for a lease that may be frozen.
@@ -103,10 +108,10 @@
         """Whether the lease has certainly lapsed, so that all runs have ended."""
         return now >= self._lapses_at
 
-    def _extend(self, length: timedelta, now: timedelta) -> timedelta | None:
+    def _extend(self, length: timedelta, begin: timedelta) -> timedelta | None:
         if self._clock is None:
             return None
-        end = self._clock + (now - self._observed_at) + length
+        end = self._clock + (begin - self._observed_at) + length
         self._highest_end = max(self._highest_end, end)
         left = self._highest_end - self._clock
         lapses_at = self._observed_at + time_to_lapse(left)
--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -127,7 +127,9 @@
     def _extend_lease(self, now: timedelta) -> timedelta | None:
         lease = self._worker.lease
         self._extended_briefly = lease.frozen
-        return lease.extend_briefly(now) if lease.frozen else lease.extend(now)
+        if lease.frozen:
+            return lease.extend_briefly(now)
+        return lease.extend(self._term.confirmed_at)
 
     def _apply_report(self, report: WorkerReport, polled_at: timedelta) -> None:
         worker = self._worker
--- a/chiveworks/dispatch/tests/test_handed_over_leases.py
+++ b/chiveworks/dispatch/tests/test_handed_over_leases.py
@@ -57,6 +57,9 @@
     def __getattr__(self, name):
         return getattr(self._deployment.store, name)
 
+    async def read(self, key, *, stale=False):
+        return await self._deployment.store.read(key, stale=stale)
+
     async def commit(self, transaction):
         if self._deployment.refuse_writes:
             return Err(Failure.not_run(Step.STORE_WRITE, 'store', '429'))
--- a/chiveworks/dispatch/tests/test_terms_that_outlast_their_key.py
+++ b/chiveworks/dispatch/tests/test_terms_that_outlast_their_key.py
@@ -41,6 +41,10 @@
         await self._wait()
         return result
 
+    async def read(self, key, *, stale=False):
+        await self._wait()
+        return await super().read(key, stale=stale)
+
     async def renew_lease(self, lease):
         if self.stalled and not self._renews:
             return Err(Failure.unknown(Step.STORE_WRITE, 'store', 'stalled'))
@@ -88,3 +92,23 @@
     link.stalled = False
     await check_one_run(linked, 12)
     assert linked.running_on()
+
+
+@pytest.mark.parametrize('renews', [True, False])
+async def test_a_second_leader_waits_for_what_the_first_may_have_extended(
+    linked, monkeypatch, renews
+):
+    """Guards against a second run beside the first: the store took the key of a leader
+    that was cut off from it, and the next leader counted from the beginning of its own
+    term, though the first extended the lease of the worker after that."""
+    link = StallingLink(linked, renews=renews)
+    with monkeypatch.context() as patch:
+        patch.setattr(test_handed_over_leases, 'StoreLink', lambda _linked: link)
+        _first, name = await start_task(linked)
+    linked.add_process('b')
+    linked.cuts.add(('b', name))
+    await linked.wait(2)
+    link.stalled = True
+    linked.store.remove(LEADER_KEY)
+    await check_one_run(linked, 12)
+    assert linked.running_on() not in ([], [name])
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -10,7 +10,7 @@
 
 from chiveworks.base import Clock, Epoch, Revision, StoreLeaseId
 from chiveworks.events import EventLog
-from chiveworks.metastore._keys import SEQUENCE_KEY
+from chiveworks.metastore._keys import LEADER_KEY, SEQUENCE_KEY
 from chiveworks.metastore._last_writer import LastWriter
 from chiveworks.metastore._metadata_store import (
     Committed,
@@ -27,6 +27,10 @@
 #: Time without progress after which the lease is not renewed any more, so that a
 #: process that no longer schedules does not keep others from leading.
 PROGRESS_LIMIT: Final = timedelta(seconds=3)
+#: Age of the last confirmation by a write from which the store is asked for the leader.
+CONFIRMATION_LIMIT: Final = timedelta(seconds=1)
+#: Interval at which that age is checked.
+CONFIRMATION_CHECK: Final = timedelta(milliseconds=250)
 #: Pause before a write that failed or has an unknown outcome is retried.
 WRITE_RETRY_PAUSE: Final = timedelta(milliseconds=30)
 
@@ -56,6 +60,8 @@
     Attributes:
         valid_until: When the term ends unless its lease is renewed.
         acquired_at: When the request for the lease was sent.
+        confirmed_at: Latest known time at which no other term had begun. The store may
+            end a term before the process notices, which goes on meanwhile.
         lost: Set once the term has ended.
         progressed_at: When the process last did work of the term.
     """
@@ -76,6 +82,7 @@
         self.token = token
         self.last_writer = last_writer
         self.acquired_at = acquired_at
+        self.confirmed_at = acquired_at
         self.valid_until = acquired_at + ttl - VALIDITY_MARGIN
         self.lost = asyncio.Event()
         self.progressed_at = clock.monotonic()
@@ -136,6 +143,21 @@
             await self._clock.sleep(self._ttl / 4)
         return 'the lease was not renewed in time'
 
+    async def keep_confirmed(self) -> None:
+        """Reads the leader key while no write confirms the term, until it is lost."""
+        while not self.lost.is_set():
+            await self._clock.sleep(CONFIRMATION_CHECK)
+            sent_at = self._clock.monotonic()
+            if sent_at - self.confirmed_at < CONFIRMATION_LIMIT:
+                continue
+            result = await self._store.read(LEADER_KEY)
+            if isinstance(result, Err):
+                continue
+            if result.ok_value.content == self.leader_value.encode():
+                self._confirm(sent_at)
+            else:
+                self.end('the leader key has changed')
+
     async def resign(self, reason: str = 'resigned') -> None:
         """Ends the term and revokes its lease, so that another process can lead."""
         self.end(reason)
@@ -162,15 +184,20 @@
             removals=removals,
         )
         while not self.lost.is_set():
+            sent_at = self._clock.monotonic()
             result = await self._store.commit(transaction)
             if isinstance(result, Err):
                 await self._clock.sleep(WRITE_RETRY_PAUSE)
             elif self._handle_outcome(result.ok_value, sequence_value):
+                self._confirm(sent_at)
                 return
         raise TermLostError(
             f'term {self.token} ended before write {number} was confirmed'
         )
 
+    def _confirm(self, sent_at: timedelta) -> None:
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
     def _handle_outcome(
         self, outcome: Committed | Conflict, sequence_value: bytes
     ) -> bool:
--- a/chiveworks/metastore/tests/test_term.py
+++ b/chiveworks/metastore/tests/test_term.py
@@ -7,7 +7,14 @@
 
 from chiveworks.base import EntryId, ManualClock
 from chiveworks.events import EventLog
-from chiveworks.metastore import Candidacy, Election, Replica, Term, TermLostError
+from chiveworks.metastore import (
+    LEADER_KEY,
+    Candidacy,
+    Election,
+    Replica,
+    Term,
+    TermLostError,
+)
 from standins.metadata import MemoryMetadataStore
 
 SECOND = timedelta(seconds=1)
@@ -228,3 +235,21 @@
 
 def _skipped(cluster):
     return [fields for event, fields in cluster.log.events if event == 'entry_skipped']
+
+
+async def test_a_term_is_confirmed_only_while_no_other_has_begun(cluster):
+    """Guards against leases that a former leader extends from a time at which the next
+    term had already begun, and against leases that end while writes are refused."""
+    term = await cluster.elect()
+    cluster.run(term.renew_until_lost())
+    cluster.run(term.keep_confirmed())
+    for _ in range(20):
+        term.note_progress()
+        await cluster.clock.advance(SECOND / 2)
+        assert cluster.clock.monotonic() - term.confirmed_at < 3 * SECOND / 2
+    cluster.store.remove(LEADER_KEY)
+    removed_at = cluster.clock.monotonic()
+    await cluster.elect('b')
+    await cluster.clock.advance(2 * SECOND)
+    assert term.confirmed_at <= removed_at
+    assert not term.valid
