Remove only those records of jobs that were read

Cause: the removal was queued by key and carried out with a later transaction, whatever the key held by then. Besides, a tombstone that was written again kept the age of the first one.

Evidence: the record of the case; the removal is up to 0.75 s later than its decision.

Change: records are removed in transactions that expect the revisions that were read, beside the ordered writes of the term. The age of a record begins anew when it is written again.

Tombstones are kept as long as before or longer. One more write for up to 30 removals.

Tests: one of five cases of test_a_job_that_replaces_its_tombstone_is_kept and two other new ones of test_tombstones.py failed before and pass now.

--- a/chiveworks/dispatch/_leader.py
+++ b/chiveworks/dispatch/_leader.py
@@ -191,7 +191,7 @@
             if term.lost.is_set():
                 # A listing may succeed after the recovery was given up.
                 return
-            scheduler.final_records.observe(JobId(name), record)
+            scheduler.final_records.observe(JobId(name), record, jobs.revision(name))
             if isinstance(record, Submission):
                 scheduler.accept(record, progress.pop(name, None))
 
--- a/chiveworks/dispatch/_progress_writer.py
+++ b/chiveworks/dispatch/_progress_writer.py
@@ -32,7 +32,6 @@
         self._clock = clock
         self._on_durable = on_durable
         self._changed: dict[str, Job] = {}
-        self._removals: list[str] = []
         self._wake = asyncio.Event()
         self._extra: dict[str, bytes] = {}
         self._extra_stored: dict[str, Callable[[], None]] = {}
@@ -59,10 +58,6 @@
             self._extra_stored[key] = on_stored
         self._wake.set()
 
-    def remove(self, key: str) -> None:
-        """Removes a key with a later transaction."""
-        self._removals.append(key)
-
     async def run(self) -> None:
         """Writes changes as they occur.
 
@@ -72,10 +67,7 @@
         while True:
             await self._wake.wait()
             await self._write_batch()
-            # A few removals wait for a later transaction, a whole batch of them does not.
-            if not (
-                self._changed or self._extra or len(self._removals) >= BATCH_ENTRIES
-            ):
+            if not (self._changed or self._extra):
                 self._wake.clear()
             await self._clock.sleep(WRITE_GAP)
 
@@ -90,9 +82,6 @@
             job = self._changed.pop(next(iter(self._changed)))
             batch.append((job, job.version))
             _encode(job, writes, removals)
-        space = BATCH_ENTRIES - len(writes) - len(removals)
-        removals.extend(self._removals[:space])
-        self._removals = self._removals[space:]
         await self._term.write(writes, removals)
         for callback in on_stored:
             callback()
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -100,8 +100,8 @@
         self._load = LoadMeter()
         self.writer = ProgressWriter(term, clock, self._on_durable)
         self.final_records = FinalRecords(
+            term,
             clock,
-            self.writer,
             {JobState: 2 * bounds.retention, Tombstone: TOMBSTONE_RETENTION},
         )
         self.leases = LeaseHandover(term, clock, log, self.writer, bounds.lease_limit)
@@ -183,7 +183,7 @@
                 self._stalls.check,
                 self._consolidator.check,
                 self._starvation_guard.check,
-                self.final_records.remove_old,
+                self.final_records.collect_old,
                 self._model_store.check,
             ),
         )
@@ -211,6 +211,7 @@
     def begin_writing(self) -> None:
         """Stores the record of leases, and then all other changes as they occur."""
         self.spawn(self._write_progress())
+        self.spawn(self.final_records.run())
 
     async def close(self) -> None:
         """Cancels all background tasks and closes the clients of workers."""
--- a/chiveworks/dispatch/tests/test_final_records.py
+++ b/chiveworks/dispatch/tests/test_final_records.py
@@ -42,8 +42,7 @@
     """Guards against records of a leader's own jobs that are removed too early, never,
     or more than once."""
     await start_leader(deployment, 'a')
-    writer = deployment.leaders['a'].scheduler.writer
-    removed = _record_removals(writer)
+    removed = _record_removals(deployment.leaders['a']._term)
     await _complete(deployment, 'j')
     await deployment.clock.advance(2 * RETENTION - MARGIN)
     assert await deployment.state('j') is JobState.COMPLETED
@@ -76,15 +75,15 @@
     assert await deployment.state('j') is JobState.QUEUED
 
 
-def _record_removals(writer):
+def _record_removals(term):
     removed = []
-    remove = writer.remove
+    remove = term.remove_unchanged
 
-    def record(key):
-        removed.append(key)
-        remove(key)
+    async def record(revisions):
+        removed.extend(revisions)
+        return await remove(revisions)
 
-    writer.remove = record
+    term.remove_unchanged = record
     return removed
 
 
--- a/chiveworks/dispatch/tests/test_tombstones.py
+++ b/chiveworks/dispatch/tests/test_tombstones.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from chiveworks.base import JobId
 from chiveworks.dispatch._scheduler import TOMBSTONE_RETENTION
 from chiveworks.dispatch.tests.deployment import start_leader
@@ -11,6 +13,7 @@
 
 MARGIN = timedelta(seconds=1)
 TOMBSTONE = encode_tombstone(Tombstone(cancelled=True))
+REFUSAL = encode_tombstone(Tombstone(cancelled=False))
 
 
 async def _cancel(deployment, name):
@@ -57,3 +60,50 @@
         deployment.store.put(job_key(JobId(f'unknown-{number}')), TOMBSTONE)
     await deployment.clock.advance(TOMBSTONE_RETENTION + 4 * MARGIN)
     assert not [key for key in deployment.store.items if key.startswith(JOB_PREFIX)]
+
+
+@pytest.mark.parametrize('delay_ms', [0, 100, 300, 500, 700])
+async def test_a_job_that_replaces_its_tombstone_is_kept(deployment, delay_ms):
+    """Guards against an accepted job that is deleted: the removal of the tombstone of its
+    refusal was due, and took the submission that had replaced it."""
+    await start_leader(deployment)
+    deployment.evacuated.add('zone')
+    key = job_key(JobId('j'))
+    deployment.store.put(key, REFUSAL)
+    await deployment.clock.advance(TOMBSTONE_RETENTION)
+    await deployment.wait(delay_ms / 1000)
+    assert await deployment.submit('j') is IntakeVerdict.ACCEPTED
+    await deployment.wait(5)
+    assert await deployment.state('j') is JobState.QUEUED
+
+
+async def test_a_removal_that_is_applied_late_keeps_a_job(deployment):
+    """Guards against an accepted job that is deleted by a removal that the store carries
+    out seconds after it was sent."""
+    await start_leader(deployment)
+    deployment.evacuated.add('zone')
+    key = job_key(JobId('j'))
+    deployment.store.put(key, REFUSAL)
+    await deployment.clock.advance(TOMBSTONE_RETENTION - MARGIN)
+    deployment.store.faults.delay_writes = 1000
+    await deployment.wait(2)
+    deployment.store.faults.delay_writes = 0
+    if key in deployment.store.items:
+        await deployment.submit('j')
+    deployment.store.apply_delayed()
+    await deployment.wait(5)
+    assert await deployment.state('j') is JobState.QUEUED
+
+
+async def test_a_tombstone_that_is_written_again_is_kept_as_long_again(deployment):
+    """Guards against a submission that the store applies late, after a cancelling that
+    found a tombstone which was about to be removed."""
+    await start_leader(deployment)
+    key = job_key(JobId('j'))
+    deployment.store.put(key, REFUSAL)
+    await deployment.clock.advance(TOMBSTONE_RETENTION - MARGIN)
+    assert await _cancel(deployment, 'j') is IntakeVerdict.NOT_FOUND
+    await deployment.clock.advance(TOMBSTONE_RETENTION - MARGIN)
+    assert key in deployment.store.items
+    await deployment.clock.advance(3 * MARGIN)
+    assert key not in deployment.store.items
--- a/chiveworks/metastore/_term.py
+++ b/chiveworks/metastore/_term.py
@@ -195,6 +195,30 @@
             f'term {self.token} ended before write {number} was confirmed'
         )
 
+    async def remove_unchanged(self, revisions: Mapping[str, Revision]) -> list[str]:
+        """Removes keys that have not changed, beside the ordered writes of the term.
+
+        Args:
+            revisions: Revision of each key at which it was read.
+
+        Returns:
+            The keys that need no further attempt. If a key has changed, only such keys
+            are returned, and nothing is removed.
+        """
+        result = await self._store.commit(
+            Transaction(expected=revisions, removals=tuple(revisions))
+        )
+        if isinstance(result, Err):
+            return []
+        outcome = result.ok_value
+        if isinstance(outcome, Committed):
+            return list(revisions)
+        return [
+            key
+            for key, revision in revisions.items()
+            if key not in outcome.items or outcome.items[key].revision != revision
+        ]
+
     def _confirm(self, sent_at: timedelta) -> None:
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
