Give no work to a worker by the entry of its former life

Cause: the restart is known from the start time in the reports of the worker, but labels and capacity come from its entry in the store, which is up to a heartbeat older.

Change: a worker accepts no tasks while its entry and its reports name different start times.

An entry without a start time counts as current.

--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -221,6 +221,8 @@
         return (
             worker.live
             and worker.listed
+            # Another incarnation may have been of another kind.
+            and worker.entry_current
             and worker.lease.extendable
             and not worker.info.draining
             and worker.quarantined_until <= now
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -63,6 +63,11 @@
         """Id of the worker."""
         return self.info.worker_id
 
+    @property
+    def entry_current(self) -> bool:
+        """Whether the entry may be that of the incarnation that responded last."""
+        return self.born_ms in {0, self.info.born_ms} or not self.info.born_ms
+
     def time_to_departure(self, now: timedelta) -> timedelta | None:
         """Returns the minimum time until a draining worker leaves; None if unknown.
 
@@ -72,8 +77,8 @@
         info, clock = self.info, self.lease.clock_at(now)
         if info.remaining is None or info.written_at is None or clock is None:
             return None
-        if info.born_ms and self.born_ms and info.born_ms != self.born_ms:
-            # The entry is that of another incarnation, which had its own clock.
+        if not self.entry_current:
+            # Another incarnation had its own clock.
             return None
         return info.written_at + info.remaining - clock
 
--- a/chiveworks/dispatch/tests/test_former_lives.py
+++ b/chiveworks/dispatch/tests/test_former_lives.py
@@ -46,6 +46,7 @@
         self.restart(name)
         await self.wait(DOWNTIME_S)
         self.runners[name].reachable = True
+        self.change_worker(name, born_ms=self.runners[name].born_ms)
 
     async def submit_and_complete(self, name, count):
         """Runs a job of one step."""
@@ -99,21 +100,36 @@
 async def test_a_start_for_a_former_life_is_not_executed_by_the_next(deployment):
     """Guards against a run whose claim names a life that is gone, which the new life
     starts although the leader has released it."""
-    runner = deployment.runners['w0']
     scheduler = deployment.leaders['a'].scheduler
     worker = scheduler.fleet.workers['w0']
     born_ms = worker.born_ms
     await deployment.submit('j', StepSpec(1, CORE))
     (task,) = scheduler.table.jobs[JobId('j')].tasks()
     assert task.worker_born_ms == born_ms
-    deployment.restart('w0')
-    runner.reachable = True
+    await deployment.restart_unnoticed('w0')
     await deployment.wait(3)
     assert worker.born_ms == born_ms + 1
     assert await deployment.state('j') is JobState.COMPLETED
     assert not deployment.observer.violations
 
 
+async def test_a_new_life_gets_no_work_by_the_labels_of_the_former_one(deployment):
+    """Guards against tasks that require a label and start on a worker without it, which
+    has started again as another kind and whose new entry has not been read."""
+    deployment.change_worker('w0', labels=frozenset(('a',)))
+    deployment.restart('w0')
+    deployment.runners['w0'].reachable = True
+    await deployment.wait(1)
+    await deployment.submit('j', StepSpec(1, CORE, required_label='a'))
+    await deployment.wait(2)
+    assert not [ref for ref in deployment.starts() if ref.job_id == 'j']
+    born_ms = deployment.runners['w0'].born_ms
+    deployment.change_worker('w0', labels=frozenset(('b',)), born_ms=born_ms)
+    await deployment.wait(1)
+    assert await deployment.state('j') is JobState.QUEUED
+    await deployment.submit_and_complete('other', 1)
+
+
 @pytest.mark.parametrize('seed', range(12))
 async def test_restarts_and_cuts_at_random_times_run_nothing_twice(seed):
     """Guards against second runs, and against tasks that wait for ever, while workers
@@ -141,13 +157,14 @@
 
 
 async def _restart_and_cut(deployment, rng, one_at_a_time):
-    runner = deployment.runners[rng.choice(sorted(deployment.runners))]
+    name = rng.choice(sorted(deployment.runners))
+    runner = deployment.runners[name]
     # A task that loses three workers in a row is given up.
     async with one_at_a_time:
-        runner.crash()
-        runner.restart()
+        deployment.restart(name)
         await deployment.clock.sleep(timedelta(seconds=rng.uniform(0, 0.7)))
         runner.reachable = True
+        deployment.change_worker(name, born_ms=runner.born_ms)
         await deployment.clock.sleep(timedelta(seconds=rng.uniform(0.1, 1)))
         runner.reachable = False
         await deployment.clock.sleep(timedelta(seconds=rng.uniform(0.1, 1.5)))
