--- a/chiveworks/dispatch/_advice.py
+++ b/chiveworks/dispatch/_advice.py
@@ -96,7 +96,7 @@
         if not permitted and workers and not cached.waiting:
             unanswered = [worker for worker in workers if cached.is_open(worker, now)]
             if not unanswered:
-                # The policy allows none of them: it is asked about all workers again.
+                # The policy allows none of them: it is asked about all of them again.
                 cached.asked.clear()
             self._request_tickets(run, cached, unanswered or workers)
         return permitted
@@ -158,7 +158,7 @@
     def _request_tickets(
         self, run: StepRun, cached: _StepTickets, workers: list[WorkerView]
     ) -> None:
-        """Queues a request about as many workers as fit, those with room first."""
+        """Queues a request about `WORKERS_PER_CALL` workers, those with room first."""
         by_room = sorted(workers, key=lambda worker: not fits(worker, run.spec))
         names = [worker.worker_id for worker in by_room[:WORKERS_PER_CALL]]
         cached.waiting = True
