Count the crash of a worker once for a start without a response

Cause: a start without a response is being stopped when the worker comes back. It was counted as a suspect then, though not released, and again when its run was released. The third crash ends a job, so two were enough.

Change: only runs that are released are counted.

Risk: a task that crashes its workers is counted later, never less often; the tests of such tasks pass unchanged.

Tests: test_a_crash_counts_once_for_a_start_without_a_response failed before and passes now.

--- a/chiveworks/dispatch/_worker_session.py
+++ b/chiveworks/dispatch/_worker_session.py
@@ -158,15 +158,15 @@
         # A start may have reached the new incarnation before its first report.
         known = {(row.ref, row.attempt) for row in report.running}
         known.update((end.ref, end.attempt) for end in report.ended)
+        # Runs whose start has no outcome yet are released, and counted, once it is known.
         lost = [
             task
             for task in worker.tasks.values()
-            if (task.ref, task.attempt) not in known and not task.start_pending
+            if (task.ref, task.attempt) not in known and task.started_at is not None
         ]
         self._tracker.record_crash(worker, lost)
         for task in lost:
-            if task.started_at is not None:
-                self._tracker.release(worker, task, 'the worker has restarted')
+            self._tracker.release(worker, task, 'the worker has restarted')
         worker.restart(report.born_ms, now)
 
     def _handle_replacement(self) -> None:
--- a/chiveworks/dispatch/tests/test_former_lives.py
+++ b/chiveworks/dispatch/tests/test_former_lives.py
@@ -113,6 +113,23 @@
     assert not deployment.observer.violations
 
 
+async def test_a_crash_counts_once_for_a_start_without_a_response(deployment):
+    """Guards against a job shown as failed after two crashes: one that left a start without
+    a response was counted as the worker came back, and again as the run was released."""
+    runner = deployment.runners['w0']
+    runner.lose_starts = runner.lose_stops = True
+    await deployment.submit('j', StepSpec(1, CORE))
+    await deployment.wait(0.5)
+    await deployment.restart_unnoticed('w0')
+    await deployment.wait(0.5)
+    runner.lose_starts = runner.lose_stops = False
+    await deployment.wait(3)
+    crashes = deployment.log.named('worker_crashed')
+    suspects = [suspect for crash in crashes for suspect in crash['suspects']]
+    assert [(suspect[0], suspect[-1]) for suspect in suspects] == [('j', 1)]
+    assert await deployment.state('j') is JobState.COMPLETED
+
+
 async def test_a_new_life_gets_no_work_by_the_labels_of_the_former_one(deployment):
     """Guards against tasks that require a label and start on a worker without it, which
     has started again as another kind and whose new entry has not been read."""
