--- a/chiveworks/base/__init__.py
+++ b/chiveworks/base/__init__.py
@@ -5,6 +5,7 @@
 from chiveworks.base._clock import Clock
 from chiveworks.base._failure import Failure
 from chiveworks.base._ids import (
+    AccountName,
     Attempt,
     BootId,
     EntryId,
@@ -31,6 +32,7 @@
 from chiveworks.base._verdict import Verdict
 
 __all__ = (
+    'AccountName',
     'Attempt',
     'BootId',
     'Clock',
--- a/chiveworks/base/_ids.py
+++ b/chiveworks/base/_ids.py
@@ -8,6 +8,8 @@
 ZoneName = NewType('ZoneName', str)
 RackName = NewType('RackName', str)
 TenantName = NewType('TenantName', str)
+#: Name of a client account, on whose behalf jobs run; empty for jobs without one.
+AccountName = NewType('AccountName', str)
 #: Name of a catalogue entry, which describes a service or a kind of batch job.
 EntryName = NewType('EntryName', str)
 JobId = NewType('JobId', str)
--- a/chiveworks/workflow/_job_spec.py
+++ b/chiveworks/workflow/_job_spec.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta, timezone
 
-from chiveworks.base import JobId
+from chiveworks.base import AccountName, JobId
 from chiveworks.workflow._queue_policy import QueuePolicy
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_spec import StepSpec
@@ -77,6 +77,7 @@
         spec: Description of the job.
         cancelled: Whether a client has cancelled the job.
         accepted_at: Wall-clock time of the acceptance.
+        account: Client account that submitted the job; empty if it has none.
     """
 
     job_id: JobId
@@ -84,6 +85,7 @@
     spec: JobSpec
     cancelled: bool = False
     accepted_at: datetime = _UNKNOWN_TIME
+    account: AccountName = AccountName('')
 
 
 def _step_validation_error(position: int, step: StepSpec) -> str:
