Decide by its key whether a call is served

KeyCheck finds the account of a call, or the reason for which it is refused: no readable key, a key that no account has, or a configuration that has not been confirmed for 0.8 of the limit of revocations. It has no I/O; nothing calls it yet. The age comes before the lookup, so that a key that was added a moment ago gets 503 and not 401.

digest_key failed on headers with bytes that are not UTF-8, which are decoded to lone surrogates.

chiveworks/accounts passes. The test of odd keys failed with UnicodeEncodeError in digest_key before.

--- a/chiveworks/accounts/__init__.py
+++ b/chiveworks/accounts/__init__.py
@@ -2,9 +2,13 @@
 
 from chiveworks.accounts._account_directory import AccountDirectory
 from chiveworks.accounts._client_account import ClientAccount, digest_key
+from chiveworks.accounts._key_check import KeyCheck
+from chiveworks.accounts._key_refusal import KeyRefusal
 
 __all__ = (
     'AccountDirectory',
     'ClientAccount',
+    'KeyCheck',
+    'KeyRefusal',
     'digest_key',
 )
--- a/chiveworks/accounts/_client_account.py
+++ b/chiveworks/accounts/_client_account.py
@@ -28,4 +28,6 @@
 
 def digest_key(key: str) -> bytes:
     """Returns the digest under which a key is kept."""
-    return hashlib.blake2b(key.encode(), digest_size=16).digest()
+    # Headers with bytes that are not UTF-8 are decoded to lone surrogates.
+    encoded = key.encode(errors='surrogatepass')
+    return hashlib.blake2b(encoded, digest_size=16).digest()
