Note up to which time a replica is complete

The check of keys needs the time up to which all changes are certainly known. Replica.last_success_at is when an answer arrived, which may be a whole watch after the state that it shows. Replica.confirmed_at is when the last successful listing or watch was sent. A compacted watch, and an entry that a listener has failed to apply, confirm nothing.

--- a/chiveworks/metastore/_replica.py
+++ b/chiveworks/metastore/_replica.py
@@ -40,6 +40,9 @@
         entries: Decoded entries, by key without the prefix.
         synced: Whether the prefix has been listed completely at least once.
         last_success_at: When a call to the store last succeeded.
+        confirmed_at: Time up to which all changes are certainly applied: when the last
+            successful listing or watch was sent. None before the first one.
+        wait: Maximum wait of one watch.
     """
 
     def __init__(
@@ -55,12 +58,13 @@
         self.entries: dict[str, _Entry] = {}
         self.synced = False
         self.last_success_at = timedelta()
+        self.confirmed_at: timedelta | None = None
+        self.wait = wait
         self._store = store
         self._prefix = prefix
         self._decode = decode
         self._clock = clock
         self._log = log
-        self._wait = wait
         self._watch_pause = watch_pause
         self._revisions: dict[str, Revision] = {}
         self._after: Revision | None = None
@@ -93,10 +97,15 @@
         """Lists the prefix or watches it once; returns whether the call succeeded."""
         self._retry_failed()
         earlier_failure = self._failure
+        sent_at = self._clock.monotonic()
         self._failure = await (self._list() if self._after is None else self._watch())
         place = {'prefix': self._prefix, 'revision': self._after}
         if not self._failure:
             self.last_success_at = self._clock.monotonic()
+            # A compacted history omits changes, and a listener that raised an error has
+            # not applied its entry.
+            if self._after is not None and not self._failed:
+                self.confirmed_at = sent_at
             if earlier_failure:
                 self._log.write('replica_regained', **place)
         elif not earlier_failure:
@@ -126,7 +135,7 @@
         """Waits for changes once; returns why that failed, or an empty string."""
         after = self._after or Revision(0)
         # After a failure, an immediate response shows that the store has recovered.
-        wait = timedelta() if self._failure else self._wait
+        wait = timedelta() if self._failure else self.wait
         result = await self._store.watch(self._prefix, after, wait)
         if isinstance(result, Err):
             return str(result.err_value)
