Read the limit of revocations from the settings

BootSettings.revocation_limit is `revoke_ms` where `revoke_fail_closed` is true, 5 s if only the latter is set, and None otherwise.

chiveworks/platform/tests/test_decoding.py passes, with a new test of these settings.

--- a/chiveworks/platform/_boot_settings.py
+++ b/chiveworks/platform/_boot_settings.py
@@ -4,11 +4,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from chiveworks.base import EntryId, ZoneName
 from chiveworks.dispatch import SchedulingBounds
 
+#: Value of the platform's deployments.
+_DEFAULT_REVOCATION_LIMIT: Final = timedelta(seconds=5)
+
 
 @dataclass(frozen=True, slots=True)
 class BootSettings:
@@ -25,6 +28,8 @@
         cores: Processor share, in cores.
         grace: Time from SIGTERM until the process is killed.
         bounds: Bounds of the scheduler.
+        revocation_limit: Time after which no call with a revoked key may be served; None
+            if a process may serve calls however old its configuration is.
     """
 
     process: EntryId
@@ -37,6 +42,7 @@
     cores: float
     grace: timedelta
     bounds: SchedulingBounds
+    revocation_limit: timedelta | None = None
 
 
 def read_boot_settings(path: Path) -> BootSettings:
@@ -66,9 +72,18 @@
             timedelta(seconds=bounds.get('status_s', 0)),
             float(bounds.get('quota_overrun', 0)),
         ),
+        _read_revocation_limit(bounds),
     )
 
 
+def _read_revocation_limit(bounds: dict[str, Any]) -> timedelta | None:
+    if not bounds.get('revoke_fail_closed', False):
+        return None
+    if 'revoke_ms' not in bounds:
+        return _DEFAULT_REVOCATION_LIMIT
+    return _milliseconds(bounds, 'revoke_ms')
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/chiveworks/platform/tests/test_decoding.py
+++ b/chiveworks/platform/tests/test_decoding.py
@@ -131,3 +131,28 @@
     assert settings.bounds.lease_limit == timedelta(seconds=6)
     assert settings.bounds.account_overrun == 0.1
     assert not settings.cloud
+
+
+@pytest.mark.parametrize(
+    ('bounds', 'limit'),
+    [
+        ('', None),
+        ('revoke_ms = 5000', None),
+        ('revoke_fail_closed = false\nrevoke_ms = 5000', None),
+        ('revoke_fail_closed = true\nrevoke_ms = 4000', timedelta(seconds=4)),
+        ('revoke_fail_closed = true', timedelta(seconds=5)),
+    ],
+)
+def test_the_limit_of_revocations_holds_only_where_it_is_asked_for(
+    tmp_path: Path, bounds, limit
+):
+    """Guards against processes that refuse clients, or serve them, against settings."""
+    path = tmp_path / 'local.toml'
+    path.write_text(
+        'node = "n"\nzone = "z"\n[listen]\nfront = "h:1"\nready = "h:2"\n'
+        '[limits]\ncpu_share = 0.5\ncores = 2\n[platform]\naddress = "h:3"\n'
+        f'[bounds]\ngrace_s = 6\n{bounds}\n'
+    )
+    settings = read_boot_settings(path)
+    assert settings.revocation_limit == limit
+    assert settings.bounds.account_overrun == 0
