Log events that clients can cause at any rate once a second

Refused calls must cost at most one log line a second of each kind, and all of them must be counted. EventLog.write_sparse writes one line a second of each kind and shows every event to the observers, so that the metrics count those without a line as well.

chiveworks/events passes, with a new test of both.

--- a/chiveworks/events/_event_log.py
+++ b/chiveworks/events/_event_log.py
@@ -56,6 +56,7 @@
         self._counts: Counter[tuple[str, str]] = Counter()
         self._written: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
+        self._sparse_at: dict[tuple[str, str], timedelta] = {}
         self._observers: list[Callable[[str, dict[str, object]], None]] = []
 
     def subscribe(self, observer: Callable[[str, dict[str, object]], None]) -> None:
@@ -76,6 +77,26 @@
         if not (self._may_write(event, fields) and self._emit(event, fields)):
             self.dropped[event] += 1
 
+    def write_sparse(self, event: str, kind: str, /, **fields: object) -> None:
+        """Writes an event like `write`, but at most one line a second of each kind.
+
+        For events that clients can cause at any rate, all lines of which say the same.
+
+        Args:
+            event: Name of the event.
+            kind: Kind of the line among those of the event.
+            fields: Fields of the line.
+        """
+        now = self._clock.monotonic()
+        written_at = self._sparse_at.get((event, kind))
+        if written_at is None or now - written_at >= _SECOND:
+            self._sparse_at[event, kind] = now
+            self.write(event, **fields)
+            return
+        for observer in self._observers:
+            observer(event, fields)
+        self.dropped[event] += 1
+
     def _may_write(self, event: str, fields: dict[str, object]) -> bool:
         """Counts a line; tells whether it is within the limits of this second."""
         key = (event, str(fields.get('queue', '')))
--- a/chiveworks/events/tests/test_event_log.py
+++ b/chiveworks/events/tests/test_event_log.py
@@ -130,3 +130,23 @@
     assert log.dropped['frequent'] == LINES_PER_SECOND - REDUCED_LINES_PER_SECOND
     os.close(reader)
     os.close(writer)
+
+
+def test_sparse_lines_are_written_once_a_second_of_each_kind_and_all_observed():
+    """Guards against a flood of refused calls that fills the log, and against a metric
+    that counts only the lines that were written."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = EventLog(clock, {}, writer)
+    log.open()
+    observed = Counter()
+    log.subscribe(lambda _event, fields: observed.update([fields['kind']]))
+    for _ in range(2):
+        clock.shift(timedelta(seconds=1))
+        for number in range(1000):
+            log.write_sparse('e', 'odd' if number % 2 else 'even', kind=number % 2)
+    lines = [line['kind'] for line in read_lines(reader) if line['event'] == 'e']
+    assert lines == [0, 1, 0, 1]
+    assert observed == {0: 1000, 1: 1000}
+    os.close(reader)
+    os.close(writer)
