Keep calls away from the jobs of other accounts

With accounts, a client that knows the id of a job could read, cancel or repeat it whoever submitted it. Calls name their caller now: a job whose record states another account is FOREIGN, which changes nothing. The record is the one that a query and a cancellation read already, and the one in the answer of a submission's write that conflicts, so no call of the store is added. Without a caller nothing is compared.

A final record keeps the account and the queue; without an account it is the record of earlier versions. Callers of a public route have no account: they reach jobs without account and jobs of that route's queue, so that a route that is opened keeps its clients' jobs, but gives no access to those of other queues.

--- a/chiveworks/dispatch/_progress_writer.py
+++ b/chiveworks/dispatch/_progress_writer.py
@@ -94,7 +94,9 @@
     # The submission is kept until the job has no active tasks, since a new leader
     # needs it to stop the remaining ones.
     if job.state.terminal and not job.active_tasks():
-        writes[job_key(job.job_id)] = encode_final_state(job.state)
+        writes[job_key(job.job_id)] = encode_final_state(
+            job.state, job.submission.owner
+        )
         removals.append(progress_key(job.job_id))
     else:
         writes[progress_key(job.job_id)] = encode_progress(job)
--- a/chiveworks/intake/__init__.py
+++ b/chiveworks/intake/__init__.py
@@ -1,5 +1,6 @@
 """Client requests to submit, cancel and query jobs."""
 
+from chiveworks.intake._caller import Caller
 from chiveworks.intake._capacity_check import CapacityCheck
 from chiveworks.intake._capacity_follower import CapacityFollower
 from chiveworks.intake._intake_verdict import IntakeVerdict
@@ -13,6 +14,7 @@
 from chiveworks.intake._unservable_job import UnservableJob
 
 __all__ = (
+    'Caller',
     'CapacityCheck',
     'CapacityFollower',
     'IntakeLimits',
--- a/chiveworks/intake/_intake_verdict.py
+++ b/chiveworks/intake/_intake_verdict.py
@@ -16,5 +16,7 @@
     NOT_FOUND = 'not_found'
     #: The job was cancelled or refused before it was stored, and never runs.
     WITHDRAWN = 'withdrawn'
+    #: The job belongs to another client account; the request had no effect.
+    FOREIGN = 'foreign'
     #: The stored record of the job cannot be read.
     UNREADABLE = 'unreadable'
--- a/chiveworks/intake/_job_canceller.py
+++ b/chiveworks/intake/_job_canceller.py
@@ -8,6 +8,7 @@
 
 from chiveworks.base import Clock, JobId, TokenBucket
 from chiveworks.events import EventLog
+from chiveworks.intake._caller import Caller
 from chiveworks.intake._intake_verdict import IntakeVerdict
 from chiveworks.intake._retry_policy import RESOLVE_TIMEOUT, RETRY_PAUSE
 from chiveworks.metastore import (
@@ -37,6 +38,7 @@
         IntakeVerdict.NOT_FOUND,
         IntakeVerdict.UNREADABLE,
         IntakeVerdict.THROTTLED,
+        IntakeVerdict.FOREIGN,
     )
 )
 
@@ -70,18 +72,25 @@
             TOMBSTONES_PER_S, TOMBSTONE_BURST, clock.monotonic()
         )
 
-    async def cancel(self, job_id: JobId) -> IntakeVerdict:
-        """Cancels a job; the result is `NOT_FOUND` once it can no longer be stored."""
+    async def cancel(
+        self, job_id: JobId, caller: Caller | None = None
+    ) -> IntakeVerdict:
+        """Cancels a job; the result is `NOT_FOUND` once it can no longer be stored.
+
+        Args:
+            job_id: Id of the job.
+            caller: Who cancels it; None if the job may belong to anybody.
+        """
         deadline = self._clock.monotonic() + RESOLVE_TIMEOUT
         verdict = IntakeVerdict.REFUSED
         while self._available() and self._clock.monotonic() < deadline:
-            verdict = await self._try_cancel(job_id)
+            verdict = await self._try_cancel(job_id, caller)
             if verdict in _FINAL_VERDICTS:
                 break
             await self._clock.sleep(RETRY_PAUSE)
         return verdict
 
-    async def _try_cancel(self, job_id: JobId) -> IntakeVerdict:
+    async def _try_cancel(self, job_id: JobId, caller: Caller | None) -> IntakeVerdict:
         result = await self._store.read(job_key(job_id))
         if isinstance(result, Err):
             return IntakeVerdict.UNKNOWN
@@ -93,6 +102,8 @@
         except ValueError as error:
             self._log.write('entry_skipped', key=item.key, reason=str(error))
             return IntakeVerdict.UNREADABLE
+        if caller and not caller.may_use(record, item.content):
+            return IntakeVerdict.FOREIGN
         if isinstance(record, Tombstone):
             return (
                 IntakeVerdict.NOT_FOUND if record.cancelled else await self._bury(item)
--- a/chiveworks/intake/_job_intake.py
+++ b/chiveworks/intake/_job_intake.py
@@ -8,6 +8,7 @@
 
 from chiveworks.base import Clock, JobId
 from chiveworks.events import EventLog
+from chiveworks.intake._caller import Caller
 from chiveworks.intake._intake_verdict import IntakeVerdict
 from chiveworks.intake._job_canceller import JobCanceller
 from chiveworks.intake._record_creator import RecordCreator
@@ -73,27 +74,40 @@
         self._counts: dict[str, int] = {}
         self._counted_at: timedelta | None = None
 
-    async def submit(self, submission: Submission) -> IntakeVerdict | UnservableJob:
+    async def submit(
+        self, submission: Submission, caller: Caller | None = None
+    ) -> IntakeVerdict | UnservableJob:
         """Stores a job; idempotent, as a repeated submission has the same job id.
 
         A job that no worker can run is not stored. One that has been accepted stays so.
+
+        Args:
+            submission: The job.
+            caller: Who submits it; None if the job may belong to anybody.
         """
-        outcome = await self._accept_or_refuse(submission)
+        outcome = await self._accept_or_refuse(submission, caller)
         fields = {'job': submission.job_id, 'queue': submission.queue.name}
+        if submission.account:
+            fields['account'] = submission.account
         if isinstance(outcome, UnservableJob):
             fields.update(outcome='unservable', reason=outcome.reason)
         else:
             fields.update(outcome=outcome.value)
-        self._log.write('job_submitted', **fields)
+        self._write_outcome('job_submitted', fields)
         return outcome
 
-    async def cancel(self, job_id: JobId) -> IntakeVerdict:
+    async def cancel(
+        self, job_id: JobId, caller: Caller | None = None
+    ) -> IntakeVerdict:
         """Cancels a job; see `JobCanceller.cancel`."""
-        verdict = await self._canceller.cancel(job_id)
-        self._log.write('cancel_requested', job=job_id, outcome=verdict.value)
+        verdict = await self._canceller.cancel(job_id, caller)
+        fields = {'job': job_id, 'outcome': verdict.value}
+        self._write_outcome('cancel_requested', fields)
         return verdict
 
-    async def state(self, job_id: JobId) -> JobState | IntakeVerdict:
+    async def state(
+        self, job_id: JobId, caller: Caller | None = None
+    ) -> JobState | IntakeVerdict:
         """Returns the state of a job, or a verdict if it cannot be determined."""
         result = await self._store.read(job_key(job_id))
         if isinstance(result, Err):
@@ -101,9 +115,7 @@
         item = result.ok_value
         if item.content is None:
             return IntakeVerdict.NOT_FOUND
-        record = self._decode_record(job_id, item.content)
-        if isinstance(record, Tombstone):
-            return IntakeVerdict.NOT_FOUND
+        record = self._decode_record(job_id, item.content, caller)
         if isinstance(record, JobState | IntakeVerdict):
             return record
         if record.cancelled:
@@ -130,18 +142,24 @@
             self._counted_at = now
         return self._counts.get(queue, 0)
 
+    def _write_outcome(self, event: str, fields: dict[str, str]) -> None:
+        if fields['outcome'] == IntakeVerdict.FOREIGN.value:
+            self._log.write_sparse(event, IntakeVerdict.FOREIGN.value, **fields)
+        else:
+            self._log.write(event, **fields)
+
     async def _accept_or_refuse(
-        self, submission: Submission
+        self, submission: Submission, caller: Caller | None
     ) -> IntakeVerdict | UnservableJob:
         if not self._available():
             return IntakeVerdict.REFUSED
         reason = self._refusal_reason(submission)
         if not reason:
-            return await self._creator.create(submission.job_id, submission)
+            return await self._creator.create(submission.job_id, submission, caller)
         # An earlier submission, whose response was lost, may still be applied by the
         # store, so it would not do to read that there is no such job.
         verdict = await self._creator.create(
-            submission.job_id, Tombstone(cancelled=False)
+            submission.job_id, Tombstone(cancelled=False), caller
         )
         return UnservableJob(reason) if verdict is IntakeVerdict.WITHDRAWN else verdict
 
@@ -158,10 +176,13 @@
         return counts if fresh else None
 
     def _decode_record(
-        self, job_id: JobId, stored: bytes
-    ) -> Submission | JobState | Tombstone | IntakeVerdict:
+        self, job_id: JobId, stored: bytes, caller: Caller | None
+    ) -> Submission | JobState | IntakeVerdict:
         try:
-            return decode_record(job_id, stored)
+            record = decode_record(job_id, stored)
         except ValueError as error:
             self._log.write('entry_skipped', key=job_key(job_id), reason=str(error))
             return IntakeVerdict.UNREADABLE
+        if caller and not caller.may_use(record, stored):
+            return IntakeVerdict.FOREIGN
+        return IntakeVerdict.NOT_FOUND if isinstance(record, Tombstone) else record
--- a/chiveworks/intake/_record_creator.py
+++ b/chiveworks/intake/_record_creator.py
@@ -7,6 +7,7 @@
 
 from chiveworks.base import Clock, JobId, Revision, Verdict
 from chiveworks.events import EventLog
+from chiveworks.intake._caller import Caller
 from chiveworks.intake._intake_verdict import IntakeVerdict
 from chiveworks.intake._retry_policy import RESOLVE_TIMEOUT, RETRY_PAUSE
 from chiveworks.metastore import (
@@ -43,13 +44,21 @@
         self._log = log
 
     async def create(
-        self, job_id: JobId, record: Submission | Tombstone
+        self,
+        job_id: JobId,
+        record: Submission | Tombstone,
+        caller: Caller | None = None,
     ) -> IntakeVerdict:
         """Stores a record unless the job has one that must stay.
 
+        Args:
+            job_id: Id of the job.
+            record: Record to store.
+            caller: Who asks for it; None if the job may belong to anybody.
+
         Returns:
-            `ACCEPTED` if the job is stored, `WITHDRAWN` if a tombstone is, `REFUSED`
-            if nothing was done, or `UNKNOWN`.
+            `ACCEPTED` if the job is stored, `WITHDRAWN` if a tombstone is, `FOREIGN` if
+            a job of another account is, `REFUSED` if nothing was done, or `UNKNOWN`.
         """
         key, content = job_key(job_id), _encode(record)
         expected = _ABSENT
@@ -62,7 +71,7 @@
             if isinstance(outcome, Committed):
                 return _verdict_of(record)
             present = outcome.items.get(key, StoreItem(key, _ABSENT, None))
-            verdict = self._lasting_verdict(job_id, present)
+            verdict = self._lasting_verdict(job_id, present, caller)
             if verdict is not None:
                 return verdict
             if repeated and present.content and isinstance(record, Submission):
@@ -88,7 +97,7 @@
         return IntakeVerdict.UNKNOWN, sent
 
     def _lasting_verdict(
-        self, job_id: JobId, present: StoreItem
+        self, job_id: JobId, present: StoreItem, caller: Caller | None
     ) -> IntakeVerdict | None:
         """Returns the verdict if the present record must stay; None if it may not."""
         if present.content is None:
@@ -98,6 +107,8 @@
         except ValueError as error:
             self._log.write('entry_skipped', key=present.key, reason=str(error))
             return IntakeVerdict.ACCEPTED
+        if caller and not caller.may_use(record, present.content):
+            return IntakeVerdict.FOREIGN
         if not isinstance(record, Tombstone):
             return IntakeVerdict.ACCEPTED
         return IntakeVerdict.WITHDRAWN if record.cancelled else None
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -2,6 +2,7 @@
 
 from chiveworks.workflow._codec import (
     decode_counts,
+    decode_final_owner,
     decode_record,
     encode_counts,
     encode_final_state,
@@ -11,6 +12,7 @@
     restore_progress,
 )
 from chiveworks.workflow._job import Job, JobState
+from chiveworks.workflow._job_owner import JobOwner
 from chiveworks.workflow._job_spec import JobSpec, Submission
 from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import MAX_STRETCH, QueuePolicy
@@ -24,6 +26,7 @@
     'MAX_STRETCH',
     'UNKNOWN_PACE',
     'Job',
+    'JobOwner',
     'JobSpec',
     'JobState',
     'LapsedRun',
@@ -37,6 +40,7 @@
     'TaskState',
     'Tombstone',
     'decode_counts',
+    'decode_final_owner',
     'decode_record',
     'encode_counts',
     'encode_final_state',
--- a/chiveworks/workflow/_codec.py
+++ b/chiveworks/workflow/_codec.py
@@ -7,6 +7,7 @@
 
 from chiveworks.base import AccountName, JobId, RackName, Resources
 from chiveworks.workflow._job import Job, JobState
+from chiveworks.workflow._job_owner import JobOwner
 from chiveworks.workflow._job_spec import JobSpec, Submission
 from chiveworks.workflow._queue_policy import QueuePolicy, check_stretch
 from chiveworks.workflow._record_checks import (
@@ -40,6 +41,7 @@
     *(LIST, FLAG, FLAG, FLAG, TEXT, TEXT, INTEGER, FLAG, FLAG, TEXT),
     *(REAL, FLAG, INTEGER),
 )
+_NO_OWNER: Final = JobOwner()
 _EPOCH: Final = datetime(1970, 1, 1, tzinfo=timezone.utc)
 
 
@@ -74,12 +76,24 @@
     return packed
 
 
-def encode_final_state(state: JobState) -> bytes:
-    """Encodes the terminal state of a job, which replaces its submission."""
-    packed: bytes = msgpack.packb({'state': state.value})
+def encode_final_state(state: JobState, owner: JobOwner = _NO_OWNER) -> bytes:
+    """Encodes the terminal state of a job, which replaces its submission.
+
+    The owner is kept only if it has an account.
+    """
+    fields = {'state': state.value, **_pack_account(owner.account)}
+    if owner.account:
+        fields['owner_queue'] = owner.queue
+    packed: bytes = msgpack.packb(fields)
     return packed
 
 
+def decode_final_owner(stored: bytes) -> JobOwner:
+    """Returns the owner in a record that `decode_record` has decoded as a final state."""
+    fields = msgpack.unpackb(stored)
+    return JobOwner(_unpack_account(fields), fields.get('owner_queue', ''))
+
+
 def encode_tombstone(tombstone: Tombstone) -> bytes:
     """Encodes the record of a job that was cancelled or refused before it was stored."""
     packed: bytes = msgpack.packb({'tombstone': tombstone.cancelled})
@@ -212,6 +226,11 @@
 
 def _unpack_final_state(fields: dict[str, Any]) -> JobState:
     state = JobState(fields['state'])
+    check_row(
+        'owner',
+        [fields.get('account', ''), fields.get('owner_queue', '')],
+        (TEXT, TEXT),
+    )
     if not state.terminal:
         raise ValueError('the state is not a final one')
     return state
--- a/chiveworks/workflow/_job_spec.py
+++ b/chiveworks/workflow/_job_spec.py
@@ -4,6 +4,7 @@
 from datetime import datetime, timedelta, timezone
 
 from chiveworks.base import AccountName, JobId
+from chiveworks.workflow._job_owner import JobOwner
 from chiveworks.workflow._queue_policy import QueuePolicy
 from chiveworks.workflow._recurrence import Recurrence
 from chiveworks.workflow._step_spec import StepSpec
@@ -87,6 +88,11 @@
     accepted_at: datetime = _UNKNOWN_TIME
     account: AccountName = AccountName('')
 
+    @property
+    def owner(self) -> JobOwner:
+        """Account and queue of the job."""
+        return JobOwner(self.account, self.queue.name)
+
 
 def _step_validation_error(position: int, step: StepSpec) -> str:
     if not 1 <= step.count <= TASK_LIMIT:
--- a/chiveworks/workflow/tests/test_codec.py
+++ b/chiveworks/workflow/tests/test_codec.py
@@ -10,6 +10,7 @@
 from chiveworks.base import AccountName, JobId, RackName, Resources, WorkerId
 from chiveworks.workflow import (
     Job,
+    JobOwner,
     JobSpec,
     JobState,
     LapsedRun,
@@ -19,6 +20,7 @@
     Submission,
     TaskState,
     Tombstone,
+    decode_final_owner,
     decode_record,
     encode_final_state,
     encode_progress,
@@ -117,6 +119,29 @@
     )
 
 
+def test_a_final_record_keeps_the_owner_of_the_job():
+    """Guards against a job that other accounts can query once it has ended."""
+    owner = JobOwner(AccountName('a'), 'q')
+    stored = encode_final_state(JobState.FAILED, owner)
+    assert decode_record(JobId('j'), stored) is JobState.FAILED
+    assert decode_final_owner(stored) == owner
+
+
+def test_a_final_record_without_account_is_that_of_earlier_versions():
+    """Guards against records of earlier versions that cannot be read, and against
+    deployments without accounts whose records change."""
+    stored = encode_final_state(JobState.FAILED, JobOwner(queue='q'))
+    assert stored == msgpack.packb({'state': 'failed'})
+    assert decode_final_owner(stored) == JobOwner()
+
+
+@pytest.mark.parametrize('field', ['account', 'owner_queue'])
+def test_a_final_record_with_an_odd_owner_is_rejected(field):
+    """Guards against an error in the check of a caller."""
+    with pytest.raises(ValueError, match='cannot be read'):
+        decode_record(JobId('j'), msgpack.packb({'state': 'failed', field: 5}))
+
+
 @pytest.mark.parametrize('cancelled', [True, False])
 def test_a_tombstone_is_distinguished_from_a_submission(cancelled):
     """Guards against a cancelled or refused job that a leader takes for a stored one."""
