Check the keys of client accounts

In a deployment with accounts, anybody who reaches a process could submit, query and cancel jobs. A call on a route that is not public now needs a key of an account in the newest known configuration: 401 without one, or with one that no account has, and 503 with Retry-After while the configuration is not known to be current and `revoke_fail_closed` asks for that. The check comes when a request arrives and again after its body has been read, immediately before the job is stored. A call for a job of another account gets 403.

With accounts and a limit of revocations, a watch of the operators' keys waits for at most a fifth of the limit (1 s instead of 1.5 s for 5 s), so that one lost answer does not yet refuse calls: two watches, a timeout and a repetition fit into 0.8 of it.

`request_refused` and `job_submitted` name the account, `configuration_applied` the number of accounts. Without `tenants` in the configuration, a request costs one comparison more.

Responses are built in a module of their own; a test imports UNSERVABLE_RETRY_S from there.

--- a/chiveworks/metastore/__init__.py
+++ b/chiveworks/metastore/__init__.py
@@ -26,7 +26,7 @@
     Transaction,
     WatchBatch,
 )
-from chiveworks.metastore._replica import Replica
+from chiveworks.metastore._replica import WATCH_WAIT, Replica
 from chiveworks.metastore._term import Term, TermLostError
 
 __all__ = (
@@ -39,6 +39,7 @@
     'PENDING_KEY',
     'PRESSURE_KEY',
     'PROGRESS_PREFIX',
+    'WATCH_WAIT',
     'Candidacy',
     'Committed',
     'Conflict',
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from chiveworks.accounts import KeyCheck
 from chiveworks.base import SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
@@ -20,9 +21,17 @@
     QueueCatalogue,
     RetryAdvice,
 )
-from chiveworks.metastore import Candidacy, Election, LeaseThread, Replica, Term
+from chiveworks.metastore import (
+    WATCH_WAIT,
+    Candidacy,
+    Election,
+    LeaseThread,
+    Replica,
+    Term,
+)
 from chiveworks.platform._advice_client import HttpAdvisor
 from chiveworks.platform._boot_settings import BootSettings, read_boot_settings
+from chiveworks.platform._caller_check import CallerCheck
 from chiveworks.platform._client_api import ClientApi
 from chiveworks.platform._decoding import (
     CONFIG_NAME,
@@ -74,6 +83,7 @@
         )
         self._advisor = HttpAdvisor(settings.advice)
         self._catalogue: QueueCatalogue | None = None
+        self._key_check = KeyCheck(settings.revocation_limit)
         self._operator_entries: Replica[QueueCatalogue | str] = Replica(
             self._store, 'op/', decode_operator_entry, self._clock, self._log
         )
@@ -150,6 +160,12 @@
             self._clock,
             self._log,
             lambda: retry_advice.retry_after_s(self._store.silence),
+            CallerCheck(
+                self._key_check,
+                lambda: self._catalogue,
+                lambda: self._operator_entries.confirmed_at,
+                self._clock,
+            ),
         )
         for handler, address in (
             (client_api.handle, self._settings.front),
@@ -216,11 +232,20 @@
         elif isinstance(entry, QueueCatalogue):
             current_version = self._catalogue.version if self._catalogue else -1
             if entry.version >= current_version:
-                self._catalogue = entry
-                self._log.write('configuration_applied', version=entry.version)
+                self._apply_configuration(entry)
         if self._leader.scheduler is not None:
             self._leader.scheduler.wake()
 
+    def _apply_configuration(self, catalogue: QueueCatalogue) -> None:
+        self._catalogue = catalogue
+        fields = {'version': catalogue.version}
+        period = WATCH_WAIT
+        if catalogue.accounts is not None:
+            fields['accounts'] = len(catalogue.accounts)
+            period = min(period, self._key_check.confirmation_period or period)
+        self._operator_entries.wait = period
+        self._log.write('configuration_applied', **fields)
+
     def _create_scheduler(self, term: Term) -> Scheduler:
         return Scheduler(
             term,
--- a/chiveworks/platform/tests/test_unservable_responses.py
+++ b/chiveworks/platform/tests/test_unservable_responses.py
@@ -11,7 +11,8 @@
 from chiveworks.capacity import CapacityRecord, ServiceCapacity, WorkerShape
 from chiveworks.dispatch.tests.deployment import RecordingLog
 from chiveworks.intake import CapacityCheck, JobIntake
-from chiveworks.platform._client_api import UNSERVABLE_RETRY_S, ClientApi
+from chiveworks.platform._client_api import ClientApi
+from chiveworks.platform._client_responses import UNSERVABLE_RETRY_S
 from chiveworks.platform._decoding import decode_operator_entry
 from chiveworks.workflow import Tombstone, decode_record
 from standins.metadata import MemoryMetadataStore
