Keep keys in malformed headers out of the log

aiohttp logs the line of a header section that it cannot parse, with its content and without a limit. A key whose header has a control character or no colon got into the log this way. Errors of the protocol now leave one line a second of each kind in the event log (`request_unreadable`), which names only the class of the error; errors of handlers are logged with their trace as before.

The tests of client accounts go over HTTP to a process whose store and clock they control: refusals by each reason, keys that are withdrawn on open connections and while a body arrives, a process that is cut off from changes or was suspended, public routes, deployments without accounts, unreadable configurations, jobs of other accounts, and a run whose whole log, metrics and representations are searched for keys. The last one failed before, on the log of the server.

chiveworks/platform passes.

--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -40,6 +40,7 @@
     decode_worker,
 )
 from chiveworks.platform._metadata_client import HttpMetadataStore
+from chiveworks.platform._server_log import create_server_logger
 from chiveworks.platform._worker_client import HttpWorker
 from chiveworks.workflow import Job, Submission
 
@@ -167,12 +168,14 @@
                 self._clock,
             ),
         )
+        server_logger = create_server_logger(self._log)
         for handler, address in (
             (client_api.handle, self._settings.front),
             (self._handle_ready, self._settings.ready),
             (self._handle_metrics, (self._settings.front[0], METRICS_PORT)),
         ):
-            runner = web.ServerRunner(web.Server(handler, access_log=None))
+            server = web.Server(handler, access_log=None, logger=server_logger)
+            runner = web.ServerRunner(server)
             await runner.setup()
             stack.push_async_callback(runner.cleanup)
             await web.TCPSite(runner, *address, backlog=512).start()
