Show an accepted job as accepted after a foreign submission

`chiveworks explain` took the last `job_submitted` line as the job's, also if it was that of another account which was refused under the same id. Such lines no longer count.

chiveworks/events passes; the new test failed before.

--- a/chiveworks/events/_job_timeline.py
+++ b/chiveworks/events/_job_timeline.py
@@ -100,7 +100,12 @@
         for entry in job_entries
         if entry['event'] in {'job_completed', 'job_failed', 'job_cancelled'}
     ]
-    submitted = [entry for entry in job_entries if entry['event'] == 'job_submitted']
+    # Submissions under the id of another account's job tell nothing about that job.
+    submitted = [
+        entry
+        for entry in job_entries
+        if entry['event'] == 'job_submitted' and entry.get('outcome') != 'foreign'
+    ]
     if end_entries:
         outcome = end_entries[-1]['event'].removeprefix('job_')
     elif submitted and submitted[-1].get('outcome') != 'accepted':
--- a/chiveworks/events/tests/test_job_timeline.py
+++ b/chiveworks/events/tests/test_job_timeline.py
@@ -36,6 +36,16 @@
     assert 'not accepted (refused)' in build_job_timeline('b', LINES)[-1].text
 
 
+def test_a_foreign_submission_does_not_hide_that_a_job_was_accepted():
+    """Guards against an accepted job that is shown as refused, since another account
+    has used its id."""
+    lines = [
+        line(1.0, 'job_submitted', job='a', outcome='accepted', account='x'),
+        line(2.0, 'job_submitted', job='a', outcome='foreign', account='y'),
+    ]
+    assert 'not accepted' not in build_job_timeline('a', lines)[-1].text
+
+
 def test_runs_of_a_cancelled_job_without_an_end_are_counted():
     """Guards against a summary that hides that runs of a cancelled job go on."""
     run = {'job': 'a', 'attempt': 1}
