Show claimed processors and waiting tasks by account

Operators could not see which account uses the workers or waits for them. The leader shows two gauges by account, from its ledger and its table of waiting steps; other processes show none. New: a test of the gauges.

--- a/chiveworks/dispatch/_claim_ledger.py
+++ b/chiveworks/dispatch/_claim_ledger.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from chiveworks.accounts import AccountUsage
+from chiveworks.base import AccountName
 from chiveworks.workflow import Job, StepRun, Task
 
 
@@ -65,6 +66,10 @@
         self.usage.remove(account, task.spec.demand)
         self.by_service[self._services.pop(task)].remove(account, task.spec.demand)
 
+    def claimed_millicores(self) -> dict[AccountName, int]:
+        """Returns the claimed processors, by account."""
+        return {name: self.usage.used(name).cpu_millicores for name in self.usage}
+
     def holds(self, task: Task) -> bool:
         """Tells whether a task is counted."""
         return task in self._holds
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-from chiveworks.base import Clock, JobId
+from chiveworks.base import AccountName, Clock, JobId
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.events import EventLog
 from chiveworks.metastore import progress_key
@@ -192,6 +192,14 @@
             lengths[run.job.queue.name] += len(run.waiting())
         return lengths
 
+    def waiting_by_account(self) -> Counter[AccountName]:
+        """Returns the number of tasks waiting for a worker, by account."""
+        lengths: Counter[AccountName] = Counter()
+        for run in self.ready:
+            if run.job.account:
+                lengths[run.job.account] += len(run.waiting())
+        return lengths
+
     def pending(self) -> Counter[str]:
         """Returns the number of open jobs of which no task has begun yet, by queue."""
         return Counter(
--- a/chiveworks/events/_event_metrics.py
+++ b/chiveworks/events/_event_metrics.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from functools import partial
 from typing import Final
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -11,6 +12,8 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from chiveworks.base import AccountName
+
 # Bucket bounds. Commands to workers take 1 ms and jobs take seconds; a job earns no
 # credit on the platform after three times its allowed duration.
 _BOUNDS_MS: Final = (
@@ -29,6 +32,8 @@
         queue_lengths: Returns the number of waiting tasks, by queue.
         runs_of_ended_jobs: Returns for each run of an ended job the time since the
             job's end; None if this process is not the leader.
+        account_claims: Returns the claimed processors in millicores, by account.
+        account_waits: Returns the number of waiting tasks, by account.
     """
 
     def __init__(
@@ -37,6 +42,8 @@
         zone: str,
         queue_lengths: Callable[[], dict[str, int]],
         runs_of_ended_jobs: Callable[[], Sequence[timedelta] | None],
+        account_claims: Callable[[], dict[AccountName, int]] = dict,
+        account_waits: Callable[[], dict[AccountName, int]] = dict,
     ) -> None:
         self._queue_lengths = queue_lengths
         self._runs_of_ended_jobs = runs_of_ended_jobs
@@ -80,6 +87,17 @@
             [self._observe_queues],
             description='Tasks that wait for a worker, by queue',
         )
+        meter.create_observable_gauge(
+            'chiveworks_account_claimed_cpu',
+            [partial(self._observe_accounts, account_claims)],
+            'mcore',
+            'Processors that the running tasks of an account claim',
+        )
+        meter.create_observable_gauge(
+            'chiveworks_account_tasks_waiting',
+            [partial(self._observe_accounts, account_waits)],
+            description='Tasks that wait for a worker, by account',
+        )
         meter.create_observable_gauge(
             'chiveworks_runs_of_ended_jobs',
             [self._observe_runs_of_ended_jobs],
@@ -131,6 +149,16 @@
             for queue, length in self._queue_lengths().items()
         ]
 
+    def _observe_accounts(
+        self,
+        amounts: Callable[[], dict[AccountName, int]],
+        _options: CallbackOptions,
+    ) -> list[Observation]:
+        return [
+            Observation(amount, {**self._zone, 'account': account})
+            for account, amount in amounts().items()
+        ]
+
     def _observe_runs_of_ended_jobs(
         self, _options: CallbackOptions
     ) -> list[Observation]:
--- a/chiveworks/events/tests/test_event_metrics.py
+++ b/chiveworks/events/tests/test_event_metrics.py
@@ -36,3 +36,16 @@
     counters = [line for line in lines if line.startswith('chiveworks_events')]
     assert len(counters) == 3
     assert not any('queue' in line for line in counters)
+
+
+def test_claims_and_waits_are_shown_by_account():
+    """Guards against operators who cannot see which account uses the workers."""
+    metrics = EventMetrics(
+        'p', 'z', dict, lambda: None, lambda: {'a': 4000}, lambda: {'a': 7, 'b': 1}
+    )
+    lines = metrics.render().decode().splitlines()
+    assert [line for line in lines if line.startswith('chiveworks_account')] == [
+        'chiveworks_account_claimed_cpu_mcore{account="a",zone="z"} 4000.0',
+        'chiveworks_account_tasks_waiting{account="a",zone="z"} 7.0',
+        'chiveworks_account_tasks_waiting{account="b",zone="z"} 1.0',
+    ]
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from chiveworks.accounts import AccountDirectory
-from chiveworks.base import SystemClock, ZoneName, cancel_all
+from chiveworks.base import AccountName, SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
 from chiveworks.intake import (
@@ -68,6 +68,8 @@
             settings.zone,
             self._queue_lengths,
             self._runs_of_ended_jobs,
+            self._account_claims,
+            self._account_waits,
         )
         self._log.subscribe(self._metrics.observe)
         self._store = HttpMetadataStore(
@@ -211,6 +213,14 @@
         scheduler = self._leader.scheduler
         return None if scheduler is None else scheduler.fleet.runs_of_ended_jobs()
 
+    def _account_claims(self) -> dict[AccountName, int]:
+        scheduler = self._leader.scheduler
+        return {} if scheduler is None else scheduler.ledger.claimed_millicores()
+
+    def _account_waits(self) -> dict[AccountName, int]:
+        scheduler = self._leader.scheduler
+        return {} if scheduler is None else scheduler.table.waiting_by_account()
+
     def _on_operator_entry(self, name: str, entry: QueueCatalogue | str | None) -> None:
         if name != CONFIG_NAME:
             self._log.write('operator_request', name=name, present=entry is not None)
