Refuse a gang that the limit of its account can never hold

Such a gang waited for ever, as it may not start even when its account runs nothing else. It is refused at submission on the path of a job that no worker can run, with a tombstone, 503 and a reason that names the account. A configuration that may be outdated, and a job that is due later, refuse nothing. New: tests with and without an overrun and of an old configuration.

--- a/chiveworks/intake/_capacity_check.py
+++ b/chiveworks/intake/_capacity_check.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Final
 
+from chiveworks.accounts import ClientAccount, gang_fits
 from chiveworks.base import Clock
 from chiveworks.capacity import CapacityRecord
 from chiveworks.workflow import JobSpec
@@ -26,15 +27,23 @@
         clock: Source of time.
         contact_at: Returns the time since which the knowledge of the leader, its
             record and the configuration is complete.
+        account_overrun: Share by which the deployment allows the limits of accounts to
+            be exceeded.
 
     Attributes:
         leader_value: Content of the leader key; None if there is no leader.
         record: Latest record; None if there is none that can be read.
     """
 
-    def __init__(self, clock: Clock, contact_at: Callable[[], timedelta]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        contact_at: Callable[[], timedelta],
+        account_overrun: float = 0,
+    ) -> None:
         self._clock = clock
         self._contact_at = contact_at
+        self._account_overrun = account_overrun
         self.leader_value: str | None = None
         self.record: CapacityRecord | None = None
 
@@ -43,7 +52,7 @@
         record = self.record
         if record is None or record.leader_value != self.leader_value:
             return ''
-        if self._clock.monotonic() - self._contact_at() > MAX_AGE:
+        if self._is_outdated():
             return ''
         capacity = record.services.get(service)
         if capacity is None or not capacity.counts or self._begins_later(spec):
@@ -54,6 +63,25 @@
                 return f'step {position} cannot run on service {service}: {reason}'
         return ''
 
+    def limit_refusal_reason(self, spec: JobSpec, account: ClientAccount | None) -> str:
+        """Returns why the limit of a job's account never lets it run; empty otherwise.
+
+        Only a gang can be concerned, since each task may run by itself.
+        """
+        if account is None or self._is_outdated() or self._begins_later(spec):
+            return ''
+        for position, step in enumerate(spec.steps):
+            fits = gang_fits(account, step.demand, step.count, self._account_overrun)
+            if step.gang and not fits:
+                return (
+                    f'step {position} cannot run: its {step.count} tasks together '
+                    f'exceed the limit of account {account.name}'
+                )
+        return ''
+
+    def _is_outdated(self) -> bool:
+        return self._clock.monotonic() - self._contact_at() > MAX_AGE
+
     def _begins_later(self, spec: JobSpec) -> bool:
         # Larger workers may have been added by then.
         recurrence = spec.recurrence
--- a/chiveworks/intake/tests/test_unservable_jobs.py
+++ b/chiveworks/intake/tests/test_unservable_jobs.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from chiveworks.base import JobId, ManualClock, Resources
+from chiveworks.accounts import ClientAccount
+from chiveworks.base import AccountName, JobId, ManualClock, Resources
 from chiveworks.capacity import CapacityRecord, ServiceCapacity, WorkerShape
 from chiveworks.dispatch.tests.deployment import RecordingLog
 from chiveworks.intake import (
@@ -160,3 +161,37 @@
     intake.contact_at = intake.clock.monotonic()
     due = Recurrence(1, intake.clock.now(), timedelta())
     assert intake.check.refusal_reason(JobSpec('x', (LARGE,), due), 'pool')
+
+
+ACCOUNT = ClientAccount(AccountName('a'), limit=Resources(4000, 0, 0))
+
+
+@pytest.mark.parametrize(
+    ('count', 'overrun', 'gang', 'refused'),
+    [
+        (5, 0, True, False),
+        (6, 0, True, True),
+        (6, 0.25, True, False),
+        (7, 0.25, True, True),
+        (7, 0, False, False),
+    ],
+)
+def test_a_gang_that_its_account_can_never_hold_is_refused(
+    intake, count, overrun, gang, refused
+):
+    """Guards against a gang that waits for ever for its account's limit, and against
+    the refusal of one that may run alone."""
+    check = CapacityCheck(intake.clock, lambda: intake.contact_at, overrun)
+    spec = JobSpec('x', (SMALL, StepSpec(count, Resources(1000, 1), gang=gang)))
+    reason = check.limit_refusal_reason(spec, ACCOUNT)
+    assert bool(reason) is refused
+    assert not refused or 'the limit of account a' in reason
+    assert not check.limit_refusal_reason(spec, None)
+
+
+def test_an_old_configuration_refuses_no_gang(intake):
+    """Guards against refusals by a limit that the operators have raised since."""
+    spec = JobSpec('x', (StepSpec(9, Resources(1000, 1), gang=True),))
+    assert intake.check.limit_refusal_reason(spec, ACCOUNT)
+    intake.clock.shift(MAX_AGE + timedelta(milliseconds=1))
+    assert not intake.check.limit_refusal_reason(spec, ACCOUNT)
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -88,7 +88,9 @@
             settings.process,
             Candidacy(settings.cores),
         )
-        self._capacity_check = CapacityCheck(self._clock, self._complete_since)
+        self._capacity_check = CapacityCheck(
+            self._clock, self._complete_since, settings.bounds.account_overrun
+        )
         capacity = CapacityFollower(self._capacity_check, self._log)
         self._election.leader.subscribe(capacity.update)
         self._leader = Leader(
@@ -261,7 +263,13 @@
 
     def _refusal_reason(self, submission: Submission) -> str:
         service = submission.queue.service
-        return self._capacity_check.refusal_reason(submission.spec, service)
+        reason = self._capacity_check.refusal_reason(submission.spec, service)
+        accounts = self._accounts()
+        if reason or accounts is None:
+            return reason
+        return self._capacity_check.limit_refusal_reason(
+            submission.spec, accounts.get(submission.account)
+        )
 
     def _service_of(self, job: Job) -> str:
         policy = self._catalogue and self._catalogue.policy(job.queue.name)
