--- a/chiveworks/accounts/__init__.py
+++ b/chiveworks/accounts/__init__.py
@@ -5,6 +5,8 @@
 from chiveworks.accounts._account_usage import AccountUsage
 from chiveworks.accounts._client_account import ClientAccount, digest_key
 from chiveworks.accounts._fair_shares import AccountDemand, FairShares
+from chiveworks.accounts._key_check import KeyCheck
+from chiveworks.accounts._key_refusal import KeyRefusal
 
 __all__ = (
     'AccountDemand',
@@ -13,6 +15,8 @@
     'AccountUsage',
     'ClientAccount',
     'FairShares',
+    'KeyCheck',
+    'KeyRefusal',
     'digest_key',
     'gang_fits',
 )
