--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -6,10 +6,12 @@
 from typing import Final
 
 from chiveworks.base import Clock
+from chiveworks.dispatch._account_gate import AccountGate
 from chiveworks.dispatch._advice import TicketCache
 from chiveworks.dispatch._job_table import JobTable
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._share_order import ShareOrder
 from chiveworks.dispatch._unplaced_steps import UnplacedSteps
 from chiveworks.dispatch._urgency import by_urgency
 from chiveworks.dispatch._wait_log import WaitLog, WaitReason
@@ -32,6 +34,7 @@
         placer: Picks workers.
         service_of: Returns the service that currently runs a job's tasks.
         tickets: Tickets for queues with an external policy.
+        gate: Holds back the tasks of accounts that have reached their limits.
 
     Attributes:
         unfinished: Whether steps are left to try by the next call.
@@ -45,6 +48,7 @@
         placer: Placer,
         service_of: Callable[[Job], str],
         tickets: TicketCache,
+        gate: AccountGate,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -52,6 +56,7 @@
         self._placer = placer
         self._service_of = service_of
         self._tickets = tickets
+        self._gate = gate
         self._wait_log = WaitLog(clock, log, placer)
         self._tried: set[StepRun] = set()
         self.unfinished = False
@@ -66,36 +71,76 @@
         now = self._clock.monotonic()
         claimed: list[Task] = []
         unplaced: defaultdict[str, UnplacedSteps] = defaultdict(UnplacedSteps)
-        for run in by_urgency(self._table.ready, now):
+        self._gate.refresh()
+        order = ShareOrder(
+            by_urgency(self._table.ready, now),
+            self._gate,
+            self._service_of,
+            self._placer.load_of,
+        )
+        for run in order:
             if run in self._tried:
                 continue
             if self._clock.monotonic() - now >= ROUND_BUDGET:
                 self.unfinished = True
                 return claimed
             self._tried.add(run)
-            waiting = run.waiting()
-            if not waiting:
-                self._table.ready.pop(run, None)
-                continue
-            service = self._service_of(run.job)
-            if _cannot_fit(
-                run, unplaced[service].relevant(may_wait=self._may_wait(waiting))
-            ):
-                # Reserved resources are available whether or not other tasks fit.
-                waiting = [
-                    task for task in waiting if self._placer.reservation_ready(task)
-                ]
-            if waiting:
-                claimed.extend(
-                    self._assign_contained(run, waiting, service, unplaced[service])
-                )
-            else:
-                self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
+            claimed.extend(self._try_run(run, order, unplaced))
         self._wait_log.retain(self._table.ready)
         self._tried.clear()
         self.unfinished = False
         return claimed
 
+    def _try_run(
+        self,
+        run: StepRun,
+        order: ShareOrder,
+        unplaced: defaultdict[str, UnplacedSteps],
+    ) -> list[Task]:
+        """Claims workers for the tasks of a step, unless they certainly do not fit."""
+        if self._gate.blocks(run):
+            # Most waiting steps may be blocked, and only lasting ones are logged.
+            if run.spec.long_running and run.waiting():
+                self._pass_over_blocked(run)
+            return []
+        waiting = run.waiting()
+        if not waiting:
+            self._table.ready.pop(run, None)
+            return []
+        waiting = self._within_limit(run, waiting)
+        if not waiting:
+            self._pass_over_blocked(run)
+            return []
+        allowed = len(waiting)
+        waiting = order.first(run, waiting)
+        if len(waiting) < allowed:
+            # The step comes again for the other tasks.
+            self._tried.discard(run)
+        service = self._service_of(run.job)
+        if _cannot_fit(
+            run, unplaced[service].relevant(may_wait=self._may_wait(waiting))
+        ):
+            # Reserved resources are available whether or not other tasks fit.
+            waiting = [task for task in waiting if self._placer.reservation_ready(task)]
+        if waiting:
+            return self._assign_contained(run, waiting, service, unplaced[service])
+        self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
+        return []
+
+    def _within_limit(self, run: StepRun, waiting: list[Task]) -> list[Task]:
+        """Returns the tasks that the limit of their account permits to start."""
+        if not run.job.account:
+            return waiting
+        for task in waiting:
+            if task.reserved_worker is not None and not self._gate.permits(task):
+                self._placer.free_reservation(task)
+        waiting.sort(key=_search_order)
+        return self._gate.startable(run, waiting)
+
+    def _pass_over_blocked(self, run: StepRun) -> None:
+        service = self._service_of(run.job)
+        self._wait_log.passed_over(run, service, WaitReason.ACCOUNT_LIMIT)
+
     def candidates(self, run: StepRun) -> list[WorkerView]:
         """Returns the workers on which tasks of a step may start; ignores capacity."""
         workers = self._placer.candidates(run, self._service_of(run.job))
@@ -112,6 +157,7 @@
             run.spec
             for run in self._table.ready
             if run.interrupted_at is not None
+            and not self._gate.blocks(run)
             and any(map(_lacks_room, run.waiting()))
             and self.candidates(run)
         )
@@ -146,29 +192,37 @@
         service: str,
         unplaced: UnplacedSteps,
     ) -> list[Task]:
-        if run.spec.gang and len(waiting) < run.spec.count:
-            # Some members of the previous run have not ended yet.
-            self._wait_log.passed_over(run, service, WaitReason.GANG_NOT_ENDED)
-            return []
         if run.spec.gang:
+            if len(waiting) < run.spec.count:
+                # Some members of the previous run have not ended yet.
+                self._wait_log.passed_over(run, service, WaitReason.GANG_NOT_ENDED)
+                return []
             run.share_checkpoint()
         candidates = self.candidates(run)
         # A task without a reservation that does not fit ends the search for its step.
         waiting.sort(key=_search_order)
         claimed = self._claim_in_groups(run, waiting, candidates)
         left = run.waiting()
-        if left:
+        failed = _failed(waiting) if run.job.account else left
+        if failed:
             self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
             if run.job.queue.advised:
                 self._tickets.request_more(run, self._placer.candidates(run, service))
-            if _unconstrained(run) and any(map(self._placer.searches_all, left)):
-                unplaced.add(run.spec, may_wait=self._may_wait(left))
+            if _unconstrained(run) and any(map(self._placer.searches_all, failed)):
+                unplaced.add(run.spec, may_wait=self._may_wait(failed))
+        elif left:
+            self._pass_over_held_back(run)
         else:
             self._table.ready.pop(run, None)
         for task in claimed:
             self._log_claim(task)
         return claimed
 
+    def _pass_over_held_back(self, run: StepRun) -> None:
+        # A step that comes again in this round is held back by a share so far.
+        if run in self._tried:
+            self._pass_over_blocked(run)
+
     def _claim_in_groups(
         self, run: StepRun, waiting: list[Task], candidates: list[WorkerView]
     ) -> list[Task]:
@@ -250,6 +304,7 @@
             waited_ms=(now - job.seen_at) // _MILLISECOND,
             waiting_ms=(now - task.waiting_since) // _MILLISECOND,
             cpu_millicores=task.spec.demand.cpu_millicores,
+            **job.account_fields,
             free_millicores=worker
             and worker.info.capacity.cpu_millicores - worker.allocated.cpu_millicores,
         )
@@ -262,6 +317,11 @@
             task.unclaim()
 
 
+def _failed(tried: list[Task]) -> list[Task]:
+    """Returns the tasks without a worker of those that an account may start now."""
+    return [task for task in tried if task.state is TaskState.WAITING]
+
+
 def _lacks_room(task: Task) -> bool:
     return bool(task.attempt) and task.reserved_worker is None
 
--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-from chiveworks.base import Clock, JobId
+from chiveworks.base import AccountName, Clock, JobId
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.events import EventLog
 from chiveworks.metastore import progress_key
@@ -148,12 +148,12 @@
         job.finish(task)
         if run.done:
             self._add_ready(job.refresh_ready(run.occurrence))
-            job.close_occurrence(run.occurrence)
-        if job.completed and not job.state.terminal:
-            self._log.write('job_completed', **self._log_fields(job))
-            self._end(job, JobState.COMPLETED)
-        else:
-            self._writer.mark(job)
+        self._close(run)
+
+    def settle(self, task: Task) -> None:
+        """Takes note that the run of a task that another run completed has ended."""
+        task.worker = None
+        self._close(task.step_run)
 
     def requeue(self, task: Task) -> None:
         """Puts a task back to waiting after its run has certainly ended."""
@@ -192,6 +192,14 @@
             lengths[run.job.queue.name] += len(run.waiting())
         return lengths
 
+    def waiting_by_account(self) -> Counter[AccountName]:
+        """Returns the number of tasks waiting for a worker, by account."""
+        lengths: Counter[AccountName] = Counter()
+        for run in self.ready:
+            if run.job.account:
+                lengths[run.job.account] += len(run.waiting())
+        return lengths
+
     def pending(self) -> Counter[str]:
         """Returns the number of open jobs of which no task has begun yet, by queue."""
         return Counter(
@@ -217,6 +225,17 @@
         else:
             heapq.heappush(self._due, (recurrence.due(number), job.job_id, number))
 
+    def _close(self, run: StepRun) -> None:
+        """Closes the occurrence and the job if nothing of them is left to do."""
+        job = run.job
+        if run.done and run.occurrence in job.occurrences:
+            job.close_occurrence(run.occurrence)
+        if job.completed and not job.state.terminal:
+            self._log.write('job_completed', **self._log_fields(job))
+            self._end(job, JobState.COMPLETED)
+        else:
+            self._writer.mark(job)
+
     def _log_fields(self, job: Job) -> dict[str, object]:
         duration = self._clock.monotonic() - job.seen_at
         return {
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -10,8 +10,8 @@
 
 from aiohttp import web
 
-from chiveworks.accounts import KeyCheck
-from chiveworks.base import SystemClock, ZoneName, cancel_all
+from chiveworks.accounts import AccountDirectory, KeyCheck
+from chiveworks.base import AccountName, SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
 from chiveworks.intake import (
@@ -77,6 +77,8 @@
             settings.zone,
             self._queue_lengths,
             self._runs_of_ended_jobs,
+            self._account_claims,
+            self._account_waits,
         )
         self._log.subscribe(self._metrics.observe)
         self._store = HttpMetadataStore(
@@ -96,7 +98,9 @@
             settings.process,
             Candidacy(settings.cores),
         )
-        self._capacity_check = CapacityCheck(self._clock, self._complete_since)
+        self._capacity_check = CapacityCheck(
+            self._clock, self._complete_since, settings.bounds.account_overrun
+        )
         capacity = CapacityFollower(self._capacity_check, self._log)
         self._election.leader.subscribe(capacity.update)
         self._leader = Leader(
@@ -229,6 +233,14 @@
         scheduler = self._leader.scheduler
         return None if scheduler is None else scheduler.fleet.runs_of_ended_jobs()
 
+    def _account_claims(self) -> dict[AccountName, int]:
+        scheduler = self._leader.scheduler
+        return {} if scheduler is None else scheduler.ledger.claimed_millicores()
+
+    def _account_waits(self) -> dict[AccountName, int]:
+        scheduler = self._leader.scheduler
+        return {} if scheduler is None else scheduler.table.waiting_by_account()
+
     def _on_operator_entry(self, name: str, entry: QueueCatalogue | str | None) -> None:
         if name != CONFIG_NAME:
             self._log.write('operator_request', name=name, present=entry is not None)
@@ -259,6 +271,7 @@
             self._service_of,
             self._evacuated,
             self._advisor,
+            self._accounts,
         )
 
     def _follow_workers(self) -> Replica[WorkerInfo]:
@@ -277,12 +290,24 @@
 
     def _refusal_reason(self, submission: Submission) -> str:
         service = submission.queue.service
-        return self._capacity_check.refusal_reason(submission.spec, service)
+        reason = self._capacity_check.refusal_reason(submission.spec, service)
+        accounts = self._accounts()
+        if reason or accounts is None:
+            return reason
+        return self._capacity_check.limit_refusal_reason(
+            submission.spec, accounts.get(submission.account)
+        )
 
     def _service_of(self, job: Job) -> str:
         policy = self._catalogue and self._catalogue.policy(job.queue.name)
         return policy.service if policy else job.queue.service
 
+    def _accounts(self) -> AccountDirectory | None:
+        """Returns the accounts in force; none are known before the configuration is."""
+        return (
+            AccountDirectory() if self._catalogue is None else self._catalogue.accounts
+        )
+
     def _evacuated(self, zone: ZoneName) -> bool:
         return EVACUATION_PREFIX + zone in self._operator_entries.entries
 
