Wait for near workers only as long as it pays off

A task with a data rack waited 1 s for it and a tightly coupled step not at all, whatever a remote run cost and whatever was about to become free. With `[bounds] remote_factor` the assigner now asks chiveworks.locality: tasks with a data rack one by one, so that a wide step is split, groups as a whole. The forecast of a worker is made at most once a round and counts the tasks ahead in the order of urgency. Claims name the reason; waits are logged as data_wait and group_wait and counted by outcome. Without the setting nothing waits. Steps with a data rack that find no room anywhere spare equal steps a search, since no wait restricts them.

--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -8,8 +8,10 @@
 from chiveworks.base import Clock
 from chiveworks.dispatch._advice import TicketCache
 from chiveworks.dispatch._job_table import JobTable
+from chiveworks.dispatch._near_waits import NearWaits
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._ranking import Ranking
+from chiveworks.dispatch._run_lateness import RunLateness
 from chiveworks.dispatch._unplaced_steps import UnplacedSteps
 from chiveworks.dispatch._urgency import by_urgency
 from chiveworks.dispatch._wait_log import WaitLog, WaitReason
@@ -32,6 +34,8 @@
         placer: Picks workers.
         service_of: Returns the service that currently runs a job's tasks.
         tickets: Tickets for queues with an external policy.
+        lateness: Expected durations of runs, by which tasks wait for near workers; None
+            if none does.
 
     Attributes:
         unfinished: Whether steps are left to try by the next call.
@@ -45,6 +49,7 @@
         placer: Placer,
         service_of: Callable[[Job], str],
         tickets: TicketCache,
+        lateness: RunLateness | None = None,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -53,6 +58,7 @@
         self._service_of = service_of
         self._tickets = tickets
         self._wait_log = WaitLog(clock, log, placer)
+        self._near_waits = NearWaits(clock, log, placer, lateness or RunLateness())
         self._tried: set[StepRun] = set()
         self.unfinished = False
 
@@ -66,6 +72,7 @@
         now = self._clock.monotonic()
         claimed: list[Task] = []
         unplaced: defaultdict[str, UnplacedSteps] = defaultdict(UnplacedSteps)
+        self._near_waits.begin_round(continues=bool(self._tried))
         for run in by_urgency(self._table.ready, now):
             if run in self._tried:
                 continue
@@ -90,8 +97,10 @@
                     self._assign_contained(run, waiting, service, unplaced[service])
                 )
             else:
+                self._near_waits.leave(run, service)
                 self._wait_log.passed_over(run, service, WaitReason.SMALLER_DID_NOT_FIT)
         self._wait_log.retain(self._table.ready)
+        self._near_waits.end_round(self._table.ready)
         self._tried.clear()
         self.unfinished = False
         return claimed
@@ -158,10 +167,14 @@
         claimed = self._claim_in_groups(run, waiting, candidates)
         left = run.waiting()
         if left:
-            self._wait_log.passed_over(run, service, WaitReason.NO_CAPACITY, candidates)
-            if run.job.queue.advised:
+            deferred = self._near_waits.leave(run, service)
+            reason = WaitReason.NEAR_ROOM if deferred else WaitReason.NO_CAPACITY
+            self._wait_log.passed_over(run, service, reason, candidates)
+            if run.job.queue.advised and not deferred:
                 self._tickets.request_more(run, self._placer.candidates(run, service))
-            if _unconstrained(run) and any(map(self._placer.searches_all, left)):
+            # A remote worker has room for tasks that wait for a near one.
+            searched = not deferred and any(map(self._placer.searches_all, left))
+            if searched and _unconstrained(run):
                 unplaced.add(run.spec, may_wait=self._may_wait(left))
         else:
             self._table.ready.pop(run, None)
@@ -172,7 +185,57 @@
     def _claim_in_groups(
         self, run: StepRun, waiting: list[Task], candidates: list[WorkerView]
     ) -> list[Task]:
-        for group in self._groups(run, candidates):
+        if self._near_waits.groups.include(run.spec):
+            return self._claim_near_group(run, waiting, candidates)
+        groups = self._groups(run, candidates)
+        return self._claim_in_first(run, waiting, candidates, groups)
+
+    def _claim_near_group(
+        self, run: StepRun, waiting: list[Task], candidates: list[WorkerView]
+    ) -> list[Task]:
+        """Claims one near rack for all tasks of a group, or any workers, or waits.
+
+        While a group other than a gang waits for a rack, it takes what is free there.
+        """
+        near_racks = self._near_waits.groups.near_racks(run, candidates)
+        near_racks.sort(key=_claimed_share)
+        for rack in near_racks:
+            claimed = self._claim_all(waiting, rack, all_or_nothing=True)
+            if claimed:
+                return claimed
+        if any(map(_is_apart, waiting)):
+            self._near_waits.note_retry(run)
+        other_groups = [candidates]
+        if run.spec.data_rack:
+            other_groups = self._groups(run, candidates)
+        claimed = self._claim_in_first(run, waiting, candidates, other_groups)
+        workers = [
+            worker for task in claimed if (worker := self._placer.worker_of(task))
+        ]
+        if not self._near_waits.groups.may_wait(run, workers, near_racks):
+            return claimed
+        # The forecast must not count these claims.
+        self._undo_claims(claimed)
+        awaited = self._near_waits.groups.rack_to_wait_for(
+            run, len(waiting), workers, near_racks
+        )
+        if not awaited:
+            for task, worker in zip(claimed, workers, strict=True):
+                self._claim(task, worker)
+            return claimed
+        if run.spec.gang:
+            return []
+        return self._claim_all(waiting, awaited, all_or_nothing=False)
+
+    def _claim_in_first(
+        self,
+        run: StepRun,
+        waiting: list[Task],
+        candidates: list[WorkerView],
+        groups: list[list[WorkerView]],
+    ) -> list[Task]:
+        """Claims workers of the first group that has room."""
+        for group in groups:
             all_or_nothing = run.spec.gang or group is not candidates
             claimed = self._claim_all(waiting, group, all_or_nothing=all_or_nothing)
             if claimed:
@@ -196,6 +259,13 @@
     def _claim_all(
         self, waiting: list[Task], workers: list[WorkerView], *, all_or_nothing: bool
     ) -> list[Task]:
+        claimed = self._claim_each(waiting, workers)
+        if all_or_nothing and len(claimed) < len(waiting):
+            self._undo_claims(claimed)
+            return []
+        return claimed
+
+    def _claim_each(self, waiting: list[Task], workers: list[WorkerView]) -> list[Task]:
         claimed: list[Task] = []
         ranked = waiting[0]
         ranking = self._placer.rank(ranked, workers)
@@ -204,15 +274,12 @@
                 ranked = task
                 ranking = self._placer.rank(ranked, workers)
             worker = self._choose(task, workers, ranking)
-            if worker is not None:
+            if worker is None and not (task.reserved_worker or task.crashes):
+                break
+            if worker and not self._near_waits.defers(task, worker, workers):
                 self._claim(task, worker)
                 ranking.refresh(worker)
                 claimed.append(task)
-            elif not (task.reserved_worker or task.crashes):
-                break
-        if all_or_nothing and len(claimed) < len(waiting):
-            self._undo_claims(claimed)
-            return []
         return claimed
 
     def _claim(self, task: Task, worker: WorkerView) -> None:
@@ -225,14 +292,14 @@
     def _choose(
         self, task: Task, workers: list[WorkerView], ranking: Ranking
     ) -> WorkerView | None:
-        if task.reserved_worker or task.avoided_workers or task.crashes:
+        if _is_apart(task):
+            self._near_waits.note_retry(task)
             return self._placer.choose(task, workers)
         return ranking.best(task)
 
     def _may_wait(self, waiting: list[Task]) -> bool:
-        """Tells whether all waiting tasks of a step may wait for a better worker."""
-        spec = waiting[0].spec
-        if not (spec.fills or spec.data_rack):
+        """Tells whether all waiting tasks of a filling step may wait for a worker."""
+        if not waiting[0].spec.fills:
             return False
         return self._placer.may_wait(min(waiting, key=_waiting_since))
 
@@ -252,6 +319,7 @@
             cpu_millicores=task.spec.demand.cpu_millicores,
             free_millicores=worker
             and worker.info.capacity.cpu_millicores - worker.allocated.cpu_millicores,
+            **self._near_waits.claim_fields(task, worker),
         )
 
     def _undo_claims(self, claimed: list[Task]) -> None:
@@ -262,6 +330,11 @@
             task.unclaim()
 
 
+def _is_apart(task: Task) -> bool:
+    """Whether workers are rated for a task by itself, not for its step."""
+    return bool(task.reserved_worker or task.avoided_workers or task.crashes)
+
+
 def _lacks_room(task: Task) -> bool:
     return bool(task.attempt) and task.reserved_worker is None
 
@@ -288,11 +361,7 @@
     """Whether only free capacity and the image decide where a step's tasks may run."""
     spec = run.spec
     special = (
-        spec.required_label
-        or spec.worker_limit
-        or spec.gang
-        or spec.data_rack
-        or run.job.queue.advised
+        spec.required_label or spec.worker_limit or spec.gang or run.job.queue.advised
     )
     return not special
 
--- a/chiveworks/dispatch/_bounds.py
+++ b/chiveworks/dispatch/_bounds.py
@@ -13,9 +13,12 @@
         stop_limit: Longest time that a worker takes for a stop.
         early_limit: How long before its due time an occurrence may start.
         retention: Minimum time for which the outcome of an ended job can be queried.
+        remote_factor: Duration of a run away from its data or its group, as a multiple
+            of a near one.
     """
 
     lease_limit: timedelta
     stop_limit: timedelta
     early_limit: timedelta
     retention: timedelta
+    remote_factor: float = 1.0
--- a/chiveworks/dispatch/_health.py
+++ b/chiveworks/dispatch/_health.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from chiveworks.base import Clock
+from chiveworks.dispatch._run_lateness import RunLateness
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.events import EventLog
 from chiveworks.workflow import Task
@@ -19,15 +20,27 @@
 
 
 class WorkerHealth:
-    """Quarantines workers on which runs of different tasks fail consecutively."""
+    """Quarantines workers on which runs of different tasks fail consecutively.
 
-    def __init__(self, clock: Clock, log: EventLog) -> None:
+    Args:
+        clock: Source of time.
+        log: Event log for quarantines.
+        remote_factor: Duration of a remote run as a multiple of a near one.
+
+    Attributes:
+        lateness: Durations of successful runs against the declared ones.
+    """
+
+    def __init__(self, clock: Clock, log: EventLog, remote_factor: float = 1.0) -> None:
         self._clock = clock
         self._log = log
+        self.lateness = RunLateness(remote_factor)
 
-    def record_done(self, worker: WorkerView) -> None:
-        """Records a successful run."""
+    def record_done(self, worker: WorkerView, task: Task, *, current: bool) -> None:
+        """Records a successful run; `current` if it is the latest run of its task."""
         worker.failure_streak = 0
+        if current:
+            self.lateness.record_done(worker, task, self._clock.monotonic())
 
     def record_failure(self, worker: WorkerView, task: Task) -> None:
         """Records a failed run and makes its task avoid the worker."""
--- a/chiveworks/dispatch/_placer.py
+++ b/chiveworks/dispatch/_placer.py
@@ -29,9 +29,6 @@
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import StepRun, StepSpec, Task
 
-#: Maximum time for which a task other than a filling task waits for a worker in the
-#: rack of its data. On other racks it takes several times as long.
-RACK_WAIT: Final = timedelta(seconds=1)
 #: Maximum time for which a filling task waits for a worker below `EXCESS_LIMIT`
 #: while non-filling tasks claim less than half of the processors. At such a low load,
 #: the platform's rule on lost jobs allows a job to have no running task for 3 s at
@@ -138,15 +135,12 @@
         return fits(worker, task.spec, without=task.spec.demand)
 
     def may_wait(self, task: Task) -> bool:
-        """Tells whether a task may wait for a worker that suits it better."""
-        spec = task.spec
-        if spec.fills:
-            limit = EXCESS_WAIT
-        elif spec.data_rack:
-            limit = RACK_WAIT
-        else:
-            return False
-        return self._clock.monotonic() - task.waiting_since < limit
+        """Tells whether a filling task may wait for a worker that suits it better.
+
+        `NearWaits` decides about waits for the rack of the data or of the group.
+        """
+        waited = self._clock.monotonic() - task.waiting_since
+        return task.spec.fills and waited < EXCESS_WAIT
 
     def rank(self, task: Task, candidates: Sequence[WorkerView]) -> Ranking:
         """Ranks the workers for `task` and the other waiting tasks of its step."""
@@ -247,8 +241,6 @@
             if spec.fills:
                 return self._rate_filling(worker, spec, may_wait=may_wait)
             remote = bool(spec.data_rack) and spec.data_rack != worker.info.rack
-            if may_wait and remote:
-                return None
             return self._rate_non_filling(worker, spec) - REMOTE_PENALTY * remote
 
         return rate
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -182,7 +182,7 @@
         self._changed()
 
     def _finish(self, worker: WorkerView, task: Task, *, current: bool) -> None:
-        self._health.record_done(worker)
+        self._health.record_done(worker, task, current=current)
         if not current and task.active:
             # The lease of this run lapsed and another run was started. The result of
             # this one counts, so the other run is stopped.
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -118,7 +118,7 @@
         self.table = JobTable(
             clock, log, self.writer, self.orders.stop, bounds.early_limit
         )
-        health = WorkerHealth(clock, log)
+        health = WorkerHealth(clock, log, bounds.remote_factor)
         self.tracker = RunTracker(
             clock,
             log,
@@ -136,7 +136,13 @@
         self._probation = placer.probation
         self._tickets = TicketCache(clock, log, advisor)
         self._assigner = Assigner(
-            clock, log, self.table, placer, service_of, self._tickets
+            clock,
+            log,
+            self.table,
+            placer,
+            service_of,
+            self._tickets,
+            health.lateness,
         )
         self._outbox = ClaimOutbox(
             self.writer,
--- a/chiveworks/dispatch/_wait_log.py
+++ b/chiveworks/dispatch/_wait_log.py
@@ -32,6 +32,7 @@
     RESERVED_WORKER = 'waits for its reserved worker'
     NO_WORKERS = 'no worker accepts tasks'
     NO_CAPACITY = 'no worker has enough free capacity'
+    NEAR_ROOM = 'waits for a worker near its data or its group'
     NO_TICKET = 'no ticket'
     GANG_NOT_ENDED = 'members of the gang have not ended'
 
--- a/chiveworks/locality/_near_wait.py
+++ b/chiveworks/locality/_near_wait.py
@@ -11,8 +11,11 @@
 #: Interval at which the decision is made again while tasks wait. A wait that would have
 #: to end earlier is not begun, so that it does not last longer than it pays off.
 REVIEW_INTERVAL: Final = timedelta(milliseconds=50)
-#: Share of the spread of a near start that must pay off as well.
+#: Default of `spread_share` in `NearWait`. In `benchmarks/bench_near_waits.py`, 0 costs
+#: more on a hot rack and 1 gains less where a near worker becomes free soon.
 SPREAD_SHARE: Final = 0.5
+#: Largest factor, with which all times are within the range of `timedelta`.
+MAX_FACTOR: Final = 100.0
 _NO_TIME: Final = timedelta()
 
 
@@ -30,10 +33,14 @@
 
     Args:
         remote_factor: Duration of a remote run as a multiple of a near one.
+        spread_share: Share of the spread of a near start that must pay off as well.
     """
 
-    def __init__(self, remote_factor: float) -> None:
-        self.remote_factor = max(remote_factor, 1.0)
+    def __init__(
+        self, remote_factor: float, spread_share: float = SPREAD_SHARE
+    ) -> None:
+        self._spread_share = spread_share
+        self.remote_factor = min(max(1.0, remote_factor), MAX_FACTOR)
 
     def gain(self, duration: timedelta) -> timedelta:
         """Returns by how much a remote run takes longer than a near one."""
@@ -85,7 +92,7 @@
             return NearReason.DEADLINE if bound_by_deadline else NearReason.WAITED
         if slot is None:
             return NearReason.NO_PLACE
-        if slot.ends_at + SPREAD_SHARE * slot.spread > remote_end:
+        if slot.ends_at + self._spread_share * slot.spread > remote_end:
             return NearReason.TOO_LATE
         if slot.starts_at > wait_until:
             return NearReason.DEADLINE if bound_by_deadline else NearReason.TOO_LATE
--- a/chiveworks/platform/_boot_settings.py
+++ b/chiveworks/platform/_boot_settings.py
@@ -64,6 +64,7 @@
             _milliseconds(bounds, 'stop_ms'),
             _milliseconds(bounds, 'early_ms'),
             timedelta(seconds=bounds.get('status_s', 0)),
+            remote_factor=float(bounds.get('remote_factor', 1)),
         ),
     )
 
--- a/chiveworks/platform/tests/test_decoding.py
+++ b/chiveworks/platform/tests/test_decoding.py
@@ -121,3 +121,18 @@
     assert settings.front == ('10.0.0.1', 1) and settings.cores == 1.0
     assert settings.bounds.lease_limit == timedelta(seconds=6)
     assert not settings.cloud
+
+
+def test_the_factor_of_remote_runs_is_read(tmp_path: Path):
+    """Guards against waits for near workers on deployments without the setting."""
+    path = tmp_path / 'local.toml'
+    text = (
+        'node = "n"\nzone = "z"\n'
+        '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
+        '[limits]\ncpu_share = 0.5\ncores = 2\n'
+        '[platform]\naddress = "10.0.0.9:3"\n[bounds]\ngrace_s = 6\n'
+    )
+    path.write_text(text)
+    assert read_boot_settings(path).bounds.remote_factor == 1
+    path.write_text(f'{text}remote_factor = 1.5\n')
+    assert read_boot_settings(path).bounds.remote_factor == 1.5
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -70,11 +70,25 @@
             step.count * _core_seconds(step) for step in submission.spec.steps
         )
         self._critical_paths = critical_paths
+        self._remote_paths: tuple[float, list[timedelta]] = (1.0, critical_paths)
 
     def can_meet_deadline(self, step: int, now: timedelta) -> bool:
         """Whether the job can still meet its deadline if the step starts now."""
         return now + self._critical_paths[step] <= self.deadline
 
+    def latest_start(self, step: int, remote_factor: float) -> timedelta:
+        """Returns when a step must start so that the job can meet its deadline remotely.
+
+        Args:
+            step: Index of the step.
+            remote_factor: Factor on the declared durations of the steps that have a data
+                rack or are tightly coupled.
+        """
+        if self._remote_paths[0] != remote_factor:
+            paths = _critical_paths(self.submission.spec.steps, remote_factor)
+            self._remote_paths = (remote_factor, paths)
+        return self.deadline - self._remote_paths[1][step]
+
     def finish(self, task: Task) -> None:
         """Records that a task is done; if it belongs to a gang, the whole gang."""
         run = task.step_run
@@ -153,12 +167,20 @@
         return [task for task in self.tasks() if task.active]
 
 
-def _critical_paths(steps: Sequence[StepSpec]) -> list[timedelta]:
+def _critical_paths(
+    steps: Sequence[StepSpec], remote_factor: float = 1.0
+) -> list[timedelta]:
     """Returns for each step the declared time on its critical path to the job's end."""
-    critical_paths = [step.estimate for step in steps]
+    durations = [
+        step.estimate * remote_factor
+        if remote_factor > 1 and (step.data_rack or step.tightly_coupled)
+        else step.estimate
+        for step in steps
+    ]
+    critical_paths = durations.copy()
     for later in reversed(range(len(steps))):
         for earlier in steps[later].after:
-            path_length = steps[earlier].estimate + critical_paths[later]
+            path_length = durations[earlier] + critical_paths[later]
             critical_paths[earlier] = max(critical_paths[earlier], path_length)
     return critical_paths
 
