--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 bench: $(READY) ## benchmark decisions against naive ones, and the request path
 	$(BIN)/python -m benchmarks.bench_decisions
+	$(BIN)/python -m benchmarks.bench_near_waits
 	$(BIN)/python -m benchmarks.bench_request_path
 
 bench-scale: $(READY) ## benchmark how decisions, control and peers scale with size
@@ -41,6 +42,7 @@
 	$(BIN)/python -m benchmarks.bench_control_scale
 	$(BIN)/python -m benchmarks.bench_membership
 	$(BIN)/python -m benchmarks.bench_claim_rounds
+	$(BIN)/python -m benchmarks.bench_near_rounds
 
 bench-idle: $(READY) ## measure CPU, memory and traffic of idle entry processes
 	$(BIN)/python -m benchmarks.bench_idle
