Let no task wait for a near worker for more than 2 s

Cause: a wait lasted up to the difference between the remote and the near run, which is 20 s for a task of 10 s at a factor of 3. Meanwhile the job may have no running task although other racks are idle, which the users' rule on lost jobs allows for 3 s at most.

The new test failed before for a single task and for a tightly coupled step (a task that was due in 1 s and overdue was waited for); it passes now, as do the others of the file.

--- a/chiveworks/dispatch/_near_round.py
+++ b/chiveworks/dispatch/_near_round.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container, Sequence
 from datetime import timedelta
+from typing import Final
 
 from chiveworks.base import Clock, RackName
 from chiveworks.dispatch._near_refusals import NearKey, NearRefusals
@@ -21,6 +22,10 @@
 )
 from chiveworks.workflow import StepRun, StepSpec, Task
 
+#: Longest time for which a task waits for a near worker although a remote one has room.
+#: The users' rule on lost jobs allows a job to have no running task for 3 s at most while
+#: less than half of the capacity is in use; the rest is for its start.
+LONGEST_WAIT: Final = timedelta(seconds=2)
 _FORECAST_REASONS = frozenset((NearReason.NO_PLACE, NearReason.TOO_LATE))
 
 
@@ -109,14 +114,24 @@
         slot: NearSlot | None,
         give_up_at: timedelta | None = None,
     ) -> NearDecision:
-        """Decides about a task or a group that could start on remote workers."""
+        """Decides about a task or a group that could start on remote workers.
+
+        Args:
+            key: The task, or the step run of the group.
+            run: Step run of the tasks.
+            workers: Remote workers on which they could start.
+            slot: Next near slot; None if there is none.
+            give_up_at: Time beyond which they must not wait, if that is before
+                `LONGEST_WAIT` is over.
+        """
         began_at = self.waits.began_at(key)
+        limit = _waiting_since(key) + LONGEST_WAIT
         request = NearRequest(
             run.spec.estimate,
             self.now if began_at is None else began_at,
             run.job.latest_start(run.step, self._lateness.remote_factor),
             max(map(self._lateness.of, workers)),
-            give_up_at,
+            limit if give_up_at is None else min(limit, give_up_at),
         )
         decision = self._near_wait.decide(request, slot, self.now)
         if not decision.waits:
@@ -129,3 +144,8 @@
         """Records that a task or a group waits for a rack."""
         self.deferred[run] = rack
         self.waits.begin(key, run, rack, decision)
+
+
+def _waiting_since(key: Task | StepRun) -> timedelta:
+    waiting = [key] if isinstance(key, Task) else key.waiting()
+    return min(task.waiting_since for task in waiting)
--- a/chiveworks/dispatch/tests/test_near_waits.py
+++ b/chiveworks/dispatch/tests/test_near_waits.py
@@ -373,3 +373,22 @@
     rounds.play()
     assert rounds.placed(gang) == ['', '', '']
     assert rounds.placed([other]) != ['']
+
+
+@pytest.mark.parametrize('coupled', [False, True])
+def test_a_long_task_waits_for_two_seconds_at_most(coupled):
+    """Guards against a job without a running task for 3 s while other racks are idle, as
+    a remote run of its long tasks would cost it even more time."""
+    rounds = Rounds(factor=3)
+    (near,) = rounds.rack('near', 1)
+    if coupled:
+        rounds.occupy(near, length=8, started=7)
+        for number in range(2):
+            rounds.rack(f'far{number}', 1)
+        tasks = rounds.submit('long', count=2, length=10, tightly_coupled=True)
+    else:
+        rounds.occupy(near, length=8, started=7)
+        rounds.rack('far', 1)
+        tasks = rounds.submit('long', length=10, data_rack=RackName('near'))
+    rounds.play(2.1)
+    assert all(rounds.placed(tasks))
