--- a/chiveworks/dispatch/_bounds.py
+++ b/chiveworks/dispatch/_bounds.py
@@ -15,6 +15,8 @@
         retention: Minimum time for which the outcome of an ended job can be queried.
         account_overrun: Part of an account's limit by which its running tasks may exceed
             that limit.
+        remote_factor: Duration of a run away from its data or its group, as a multiple
+            of a near one.
     """
 
     lease_limit: timedelta
@@ -22,3 +24,4 @@
     early_limit: timedelta
     retention: timedelta
     account_overrun: float = 0
+    remote_factor: float = 1.0
--- a/chiveworks/platform/_boot_settings.py
+++ b/chiveworks/platform/_boot_settings.py
@@ -71,6 +71,7 @@
             _milliseconds(bounds, 'early_ms'),
             timedelta(seconds=bounds.get('status_s', 0)),
             float(bounds.get('quota_overrun', 0)),
+            float(bounds.get('remote_factor', 1)),
         ),
         _read_revocation_limit(bounds),
     )
