Slow filling tasks down by what is missing instead of pausing them

Cause: a serving task with too little headroom had filling tasks beside it paused whole until the lack was covered, and they went on only once a whole task fitted again.

A task with checkpoints moves from half pace on, others only when paused.

--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -7,6 +7,7 @@
 from chiveworks.dispatch._interference_forecast import KEPT_HEADROOM
 from chiveworks.dispatch._interference_model import InterferenceModel
 from chiveworks.dispatch._orders import Orders
+from chiveworks.dispatch._pace_plan import FillingLoad, lower_paces, raise_paces
 from chiveworks.dispatch._placer import Placer
 from chiveworks.dispatch._worker_view import WorkerView
 from chiveworks.workflow import Task, TaskState
@@ -17,8 +18,6 @@
 TARGET_HEADROOM: Final = 1.3
 #: Headroom from which a worker needs no frequent polling.
 SAFE_HEADROOM: Final = 1.6
-#: Loss of headroom from which a filling task counts as a cause of low headroom.
-NOTABLE_LOSS: Final = 0.12
 #: Time above the latency target after which all filling tasks are paused, whether
 #: or not they are a known cause.
 ESCALATION_DELAY: Final = timedelta(milliseconds=1200)
@@ -33,12 +32,14 @@
 PLACEMENT_HORIZON: Final = timedelta(milliseconds=2000)
 #: Progress up to which a task without checkpoints is moved instead of only paused.
 MOVABLE_PERCENT: Final = 40
+#: Pace up to which a task with checkpoints is moved. A move takes about half a second.
+SLOW_PERCENT: Final = 50
 _FULL: Final = 100
 _MILLISECOND: Final = timedelta(milliseconds=1)
 
 
 class InterferenceGuard:
-    """Learns from reports and pauses or moves the most disturbing filling tasks.
+    """Learns from reports and slows down or moves the most disturbing filling tasks.
 
     Args:
         clock: Source of time.
@@ -82,9 +83,9 @@
         if not self._recently_changed(worker):
             low = headroom < LOW_HEADROOM or self._escalated(worker)
             if worst and low:
-                self._pause_filling(worker, worst, headroom, filling)
+                self._slow_down(worker, expected, filling)
             else:
-                self._resume(worker, expected, filling)
+                self._speed_up(worker, expected, filling)
         return headroom < SAFE_HEADROOM or any(
             task.pace_percent < _FULL for task in filling
         )
@@ -114,46 +115,81 @@
         )
         return self._model.baseline(task.ref, image, PAUSE_HORIZON) - lost
 
-    def _pause_filling(
-        self, worker: WorkerView, worst: Task, headroom: float, filling: list[Task]
+    def _slow_down(
+        self, worker: WorkerView, expected: dict[Task, float], filling: list[Task]
+    ) -> None:
+        """Lowers the pace of filling tasks until serving tasks have enough headroom."""
+        loads = self._filling_loads(worker, list(expected), filling)
+        paces = lower_paces(
+            loads, [headroom - TARGET_HEADROOM for headroom in expected.values()]
+        )
+        if self._escalated(worker):
+            paces = [0 for _task in filling]
+        elif min(map(_headroom, expected)) < 1:
+            self._force_pause(expected, loads, paces)
+        for task, pace in zip(filling, paces, strict=True):
+            if pace != _known_pace(task):
+                self._set_pace(worker, task, pace)
+                self._move_if_slow(
+                    worker, task, 'the task interferes with serving tasks'
+                )
+
+    def _force_pause(
+        self,
+        expected: dict[Task, float],
+        loads: list[FillingLoad],
+        paces: list[int],
     ) -> None:
-        working = [task for task in filling if task.pace_percent != 0]
-        losses = {task: self._loss(worker, worst, task) for task in working}
-        working.sort(key=lambda task: -losses[task])
-        missing = TARGET_HEADROOM - headroom
-        escalated = self._escalated(worker)
-        # While the target is missed, the most likely cause is paused even if its loss
-        # is small or uncertain; the next reports show whether it was the cause.
-        forced_pauses = int(_headroom(worst) < 1)
-        for position, task in enumerate(working):
-            known = missing > 0 and losses[task] >= NOTABLE_LOSS
-            if not (escalated or known or position < forced_pauses):
-                break
-            missing -= losses[task]
-            self._set_pace(worker, task, 0)
-            if self._movable(worker, task):
-                self._orders.stop(task, 'the task interferes with serving tasks')
-
-    def _resume(
+        """Pauses the most likely cause of a missed target.
+
+        Its loss may be small or uncertain; the next reports show whether it was the cause.
+        """
+        serving = list(expected)
+        worst = serving.index(min(serving, key=lambda each: expected[each]))
+        working = [position for position, pace in enumerate(paces) if pace]
+        if working:
+            cause = max(working, key=lambda position: loads[position].losses[worst])
+            if paces[cause] == loads[cause].pace_percent:
+                paces[cause] = 0
+
+    def _speed_up(
         self, worker: WorkerView, expected: dict[Task, float], filling: list[Task]
     ) -> None:
-        left = {task: headroom - TARGET_HEADROOM for task, headroom in expected.items()}
-        for task in filling:
+        """Raises the pace of filling tasks while serving tasks keep enough headroom."""
+        if all(task.pace_percent == _FULL for task in filling):
+            return
+        filling = sorted(filling, key=_tasks_left)
+        loads = self._filling_loads(worker, list(expected), filling)
+        paces = raise_paces(
+            loads, [headroom - TARGET_HEADROOM for headroom in expected.values()]
+        )
+        for task, pace in zip(filling, paces, strict=True):
             if task.pace_percent == _FULL:
                 continue
-            losses = {each: self._loss(worker, each, task) for each in left}
-            if all(losses[each] <= left[each] for each in left):
-                self._set_pace(worker, task, _FULL)
-                for each in left:
-                    left[each] -= losses[each]
-            elif self._movable(worker, task):
-                self._orders.stop(task, 'another worker suits the task better')
-
-    def _movable(self, worker: WorkerView, task: Task) -> bool:
+            if pace != task.pace_percent:
+                self._set_pace(worker, task, pace)
+            self._move_if_slow(worker, task, 'another worker suits the task better')
+
+    def _filling_loads(
+        self, worker: WorkerView, serving: list[Task], filling: list[Task]
+    ) -> list[FillingLoad]:
+        return [
+            FillingLoad(
+                [self._loss(worker, each, task) for each in serving], _known_pace(task)
+            )
+            for task in filling
+        ]
+
+    def _move_if_slow(self, worker: WorkerView, task: Task, reason: str) -> None:
+        """Stops a task that would be done earlier elsewhere, if there is a worker."""
+        pace = task.pace_percent
         loses_little = (
-            task.spec.checkpointed or task.progress_percent <= MOVABLE_PERCENT
+            pace <= SLOW_PERCENT
+            if task.spec.checkpointed
+            else pace == 0 and task.progress_percent <= MOVABLE_PERCENT
         )
-        return loses_little and self._placer.has_better_worker(worker, task)
+        if loses_little and self._placer.has_better_worker(worker, task):
+            self._orders.stop(task, reason)
 
     def _loss(self, worker: WorkerView, serving: Task, filling: Task) -> float:
         weight = self._model.weight(serving.spec.image, filling.spec.image)
@@ -192,6 +228,16 @@
     return loads
 
 
+def _known_pace(task: Task) -> int:
+    """Returns the pace of a task; full pace if the last order was not confirmed."""
+    return task.pace_percent if task.pace_percent >= 0 else _FULL
+
+
+def _tasks_left(task: Task) -> int:
+    run = task.step_run
+    return run.spec.count - run.done_count
+
+
 def _is_running_filling_task(task: Task) -> bool:
     return task.spec.fills and task.state is TaskState.RUNNING
 
--- a/chiveworks/dispatch/_worker_allocation.py
+++ b/chiveworks/dispatch/_worker_allocation.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from chiveworks.dispatch._pace_plan import FULL_PACE_PERCENT
 from chiveworks.workflow import Task
 
 
@@ -15,12 +16,12 @@
 
     Attributes:
         cpu_millicores: Processor claims of all tasks but filling ones.
-        filling_millicores: Processor claims of filling tasks that are not paused.
+        filling_millicores: Processor claims of filling tasks, scaled by their pace.
         serving_millicores: Processor claims of serving tasks.
         memory_bytes: Memory claims.
         accelerators: Accelerator claims.
         serving_images: Number of serving tasks, by image.
-        filling_images: Processor claims of filling tasks that are not paused, by
+        filling_images: Processor claims of filling tasks, scaled by their pace, by
             image.
     """
 
@@ -37,7 +38,7 @@
         """Adds the demand of a task, or subtracts it if `sign` is -1."""
         spec, demand = task.spec, task.spec.demand
         if spec.fills:
-            self.count_filling(task, sign if task.pace_percent else 0)
+            self.count_filling(task, sign)
         else:
             self.cpu_millicores += sign * demand.cpu_millicores
         if spec.serves:
@@ -47,8 +48,10 @@
         self.accelerators += sign * demand.accelerators
 
     def count_filling(self, task: Task, sign: int) -> None:
-        """Adds or subtracts only the processor demand of a filling task."""
-        change = sign * task.spec.demand.cpu_millicores
+        """Adds or subtracts only the processor demand of a filling task, at its pace."""
+        # A task whose pace is not known counts as one at full pace.
+        percent = task.pace_percent if task.pace_percent >= 0 else FULL_PACE_PERCENT
+        change = sign * (task.spec.demand.cpu_millicores * percent // FULL_PACE_PERCENT)
         self.filling_millicores += change
         _adjust(self.filling_images, task.spec.image, change)
 
--- a/chiveworks/dispatch/_worker_view.py
+++ b/chiveworks/dispatch/_worker_view.py
@@ -116,12 +116,14 @@
             self._ledger.drop(reserved)
 
     def set_pace(self, task: Task, percent: int) -> None:
-        """Records the pace of a run; a paused run uses no processor time."""
-        if task.spec.fills and task.ref in self.tasks:
-            change = int(percent != 0) - int(task.pace_percent != 0)
-            self.allocated.count_filling(task, change)
-            self.version += 1
+        """Records the pace of a run, which uses processor time in proportion to it."""
+        counted = task.spec.fills and task.ref in self.tasks
+        if counted:
+            self.allocated.count_filling(task, -1)
         task.pace_percent = percent
+        if counted:
+            self.allocated.count_filling(task, 1)
+            self.version += 1
 
     def update_spare_headroom(self, spare_headroom: dict[str, float]) -> None:
         """Sets the headroom that serving tasks can spare, by image."""
