Decide lateness by learned durations

Cause: the deadline of a job, and so its place among the waiting ones, came from the declared duration of one task. Declared durations are wrong by a factor of two and more, and what a job is allowed follows its longest task.

Change: DurationModel learns by queue the typical and the longest duration of a step from the declared one and the number of tasks; a run that takes longer than expected gives its job more time at once. Work is counted without waits and pauses. Without samples the declared duration counts as before. A new leader learns anew, which takes a few steps of each queue.

--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -7,12 +7,14 @@
 from typing import Final
 
 from chiveworks.base import AccountName, Clock, JobId
+from chiveworks.dispatch._duration_model import DurationModel
 from chiveworks.dispatch._progress_writer import ProgressWriter
 from chiveworks.events import EventLog
 from chiveworks.metastore import progress_key
 from chiveworks.workflow import (
     Job,
     JobState,
+    StepDuration,
     StepRun,
     Submission,
     Task,
@@ -54,6 +56,7 @@
         self._early = early
         self._due: list[tuple[datetime, JobId, int]] = []
         self._withheld: set[JobId] = set()
+        self.durations = DurationModel()
 
     def add(
         self,
@@ -113,6 +116,10 @@
         )
         if progress is not None:
             restore_progress(job, progress)
+        queue = submission.queue.name
+        job.expect(
+            [self.durations.predict(queue, step) for step in submission.spec.steps]
+        )
         return job
 
     def cancel(self, job: Job) -> None:
@@ -147,6 +154,7 @@
         job = run.job
         job.finish(task)
         if run.done:
+            self._learn_durations(run)
             self._add_ready(job.refresh_ready(run.occurrence))
         self._close(run)
 
@@ -208,6 +216,14 @@
             if not job.started and not job.state.terminal
         )
 
+    def _learn_durations(self, run: StepRun) -> None:
+        worked = [task.worked for task in run.tasks if task.worked]
+        if len(worked) == run.spec.count and not run.spec.long_running:
+            typical = sum(worked, timedelta()) / len(worked)
+            self.durations.partial_fit(
+                run.job.queue.name, run.spec, StepDuration(typical, max(worked))
+            )
+
     def _add_ready(self, runs: Iterable[StepRun]) -> None:
         for run in runs:
             if run.ready and not run.done and not run.job.state.terminal:
@@ -242,6 +258,7 @@
             'job': job.job_id,
             'queue': job.queue.name,
             'duration_ms': duration // timedelta(milliseconds=1),
+            'allowed_ms': (job.deadline - job.seen_at) // timedelta(milliseconds=1),
             'late': self._clock.monotonic() > job.deadline,
         }
 
--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -110,6 +110,7 @@
 
     def set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         """Sets the share of its full speed at which a run works, in percent."""
+        task.count_work(self._clock.monotonic())
         worker.set_pace(task, percent)
         # Restarts the stall timeout: a paused run makes no progress.
         task.progressed_at = self._clock.monotonic()
--- a/chiveworks/dispatch/_run_tracker.py
+++ b/chiveworks/dispatch/_run_tracker.py
@@ -22,6 +22,10 @@
 END_PAGE_SIZE = 500
 
 
+#: Progress from which the duration of a run is projected from it.
+MIN_PROJECTED_PERCENT = 20
+
+
 class RunTracker:
     """Reconciles the runs that workers list with the claims of the scheduler.
 
@@ -179,6 +183,8 @@
             how=end.kind.value,
             current=current,
         )
+        if current and end.kind is EndKind.DONE:
+            task.count_work(self._clock.monotonic())
         if task.state is not TaskState.DONE:
             self._end_open(worker, task, end, current=current)
         elif current and task.lingers:
@@ -271,6 +277,12 @@
     if task.started_at is None:
         task.started_at = now
         task.progressed_at = now
+    task.count_work(now)
+    if row.percent >= MIN_PROJECTED_PERCENT and not task.spec.long_running:
+        # The whole duration, if the rest takes as long as the part that is done.
+        task.step_run.job.observe_longest(
+            task.step_run.step, task.worked * 100 / row.percent
+        )
     if row.checkpoint:
         task.checkpoint = row.checkpoint
     if row.percent != task.progress_percent:
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -17,6 +17,7 @@
 from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import MAX_STRETCH, QueuePolicy
 from chiveworks.workflow._recurrence import Recurrence
+from chiveworks.workflow._step_duration import StepDuration
 from chiveworks.workflow._step_run import StepRun
 from chiveworks.workflow._step_spec import StepSpec
 from chiveworks.workflow._task import UNKNOWN_PACE, Task, TaskRef, TaskState
@@ -32,6 +33,7 @@
     'LapsedRun',
     'QueuePolicy',
     'Recurrence',
+    'StepDuration',
     'StepRun',
     'StepSpec',
     'Submission',
--- a/chiveworks/workflow/_job.py
+++ b/chiveworks/workflow/_job.py
@@ -8,6 +8,7 @@
 from chiveworks.base import AccountName, JobId
 from chiveworks.workflow._job_spec import Submission
 from chiveworks.workflow._queue_policy import QueuePolicy
+from chiveworks.workflow._step_duration import StepDuration
 from chiveworks.workflow._step_run import StepRun
 from chiveworks.workflow._step_spec import StepSpec
 from chiveworks.workflow._task import Task
@@ -15,6 +16,8 @@
 #: Multiple of the allowed duration after which a late completion earns no credit
 #: on the platform.
 EXPIRY_FACTOR: Final = 3
+#: Factor by which a task must exceed the expected longest one to change the deadline.
+LONGER_FACTOR: Final = 1.1
 
 
 class JobState(str, enum.Enum):
@@ -43,9 +46,9 @@
         seen_at: When the scheduler first saw the job.
         version: Number of the latest change to the progress.
         durable_version: Number of the latest change that the store has committed.
-        deadline: When the job should be done, by its declared durations.
+        deadline: When the job should be done, by the expected durations.
         expires_at: When a late completion no longer earns credit.
-        remaining_work: Declared core-seconds of the tasks that are not done.
+        remaining_work: Expected core-seconds of the tasks that are not done.
         started: Whether a worker is known to have begun any task.
         ended_at: When the scheduler of this term learned of the job's end; None while
             the job is open.
@@ -61,16 +64,33 @@
         self.durable_version = 0
         self.started = False
         self.ended_at: timedelta | None = None
-        critical_paths = _critical_paths(submission.spec.steps)
-        queue = submission.queue
-        allowed = queue.stretch * max(critical_paths) + queue.latency_objective
-        self.deadline = seen_at + allowed
-        self.expires_at = seen_at + EXPIRY_FACTOR * allowed
-        self.remaining_work = sum(
-            step.count * _core_seconds(step) for step in submission.spec.steps
+        self.deadline = seen_at
+        self.expires_at = seen_at
+        self.remaining_work = float(0)
+        self._critical_paths: list[timedelta] = []
+        self._remote_paths: tuple[float, list[timedelta]] = (1.0, [])
+        self._durations = [
+            StepDuration(step.estimate, step.estimate) for step in submission.spec.steps
+        ]
+        self._apply_durations(
+            [step.count * self.occurrence_count for step in submission.spec.steps]
         )
-        self._critical_paths = critical_paths
-        self._remote_paths: tuple[float, list[timedelta]] = (1.0, critical_paths)
+
+    def expect(self, durations: Sequence[StepDuration]) -> None:
+        """Replaces the declared durations of the steps by expected ones."""
+        self._durations = list(durations)
+        self._apply_durations(self._tasks_left())
+
+    def observe_longest(self, step: int, longest: timedelta) -> None:
+        """Takes note that a task of a step takes longer than all others so far.
+
+        The allowed duration of a job follows its longest chain of work, so the job has
+        more time for its other tasks as well.
+        """
+        expected = self._durations[step]
+        if longest > LONGER_FACTOR * expected.longest:
+            self._durations[step] = StepDuration(expected.typical, longest)
+            self._apply_durations(self._tasks_left())
 
     def can_meet_deadline(self, step: int, now: timedelta) -> bool:
         """Whether the job can still meet its deadline if the step starts now."""
@@ -85,7 +105,9 @@
                 rack or are tightly coupled.
         """
         if self._remote_paths[0] != remote_factor:
-            paths = _critical_paths(self.submission.spec.steps, remote_factor)
+            paths = _critical_paths(
+                self.submission.spec.steps, self._durations, remote_factor
+            )
             self._remote_paths = (remote_factor, paths)
         return self.deadline - self._remote_paths[1][step]
 
@@ -94,7 +116,9 @@
         run = task.step_run
         before = run.done_count
         run.finish(task)
-        self.remaining_work -= (run.done_count - before) * _core_seconds(run.spec)
+        self.remaining_work -= (run.done_count - before) * _core_seconds(
+            run.spec, self._durations[run.step]
+        )
 
     @property
     def job_id(self) -> JobId:
@@ -178,29 +202,54 @@
             for run in runs:
                 yield from run.tasks
 
+    def _tasks_left(self) -> list[int]:
+        """Returns the number of tasks of each step that are not done."""
+        unopened = self.occurrence_count - self.next_occurrence
+        left = [step.count * unopened for step in self.submission.spec.steps]
+        for runs in self.occurrences.values():
+            for run in runs:
+                left[run.step] += run.spec.count - run.done_count
+        return left
+
+    def _apply_durations(self, tasks_left: Sequence[int]) -> None:
+        steps, queue = self.submission.spec.steps, self.queue
+        self._critical_paths = _critical_paths(steps, self._durations)
+        self._remote_paths = (1.0, self._critical_paths)
+        allowed = queue.stretch * max(self._critical_paths) + queue.latency_objective
+        self.deadline = self.seen_at + allowed
+        self.expires_at = self.seen_at + EXPIRY_FACTOR * allowed
+        self.remaining_work = sum(
+            count * _core_seconds(step, duration)
+            for count, step, duration in zip(
+                tasks_left, steps, self._durations, strict=True
+            )
+        )
+
     def active_tasks(self) -> list[Task]:
         """Returns the tasks that occupy capacity on a worker."""
         return [task for task in self.tasks() if task.active or task.lingers]
 
 
 def _critical_paths(
-    steps: Sequence[StepSpec], remote_factor: float = 1.0
+    steps: Sequence[StepSpec],
+    durations: Sequence[StepDuration],
+    remote_factor: float = 1.0,
 ) -> list[timedelta]:
-    """Returns for each step the declared time on its critical path to the job's end."""
-    durations = [
-        step.estimate * remote_factor
+    """Returns for each step the expected time on its critical path to the job's end."""
+    longest = [
+        duration.longest * remote_factor
         if remote_factor > 1 and (step.data_rack or step.tightly_coupled)
-        else step.estimate
-        for step in steps
+        else duration.longest
+        for step, duration in zip(steps, durations, strict=True)
     ]
-    critical_paths = durations.copy()
+    critical_paths = longest.copy()
     for later in reversed(range(len(steps))):
         for earlier in steps[later].after:
-            path_length = durations[earlier] + critical_paths[later]
+            path_length = longest[earlier] + critical_paths[later]
             critical_paths[earlier] = max(critical_paths[earlier], path_length)
     return critical_paths
 
 
-def _core_seconds(step: StepSpec) -> float:
-    """Returns the declared core-seconds of one task of a step."""
-    return step.demand.cpu_millicores / 1000 * step.estimate.total_seconds()
+def _core_seconds(step: StepSpec, duration: StepDuration) -> float:
+    """Returns the expected core-seconds of one task of a step."""
+    return step.demand.cpu_millicores / 1000 * duration.typical.total_seconds()
--- a/chiveworks/workflow/_task.py
+++ b/chiveworks/workflow/_task.py
@@ -63,6 +63,9 @@
         started_at: When the start of the current run was confirmed.
         progress_percent: Progress last reported by the worker.
         progressed_at: When `progress_percent` last changed.
+        worked: Work done so far at full pace, without pauses; includes earlier runs from
+            whose checkpoint the current one resumed.
+        worked_until: Time up to which `worked` counts; None while no run is known.
         measured: Last measurement reported by the worker: the tail latency in ms of
             a serving task, else the processor use in millicores.
         pace_percent: Speed that the run was set to, in percent of full speed.
@@ -89,6 +92,8 @@
     started_at: timedelta | None = None
     progress_percent: int = 0
     progressed_at: timedelta = timedelta()
+    worked: timedelta = timedelta()
+    worked_until: timedelta | None = None
     measured: int = 0
     pace_percent: int = 100
     claim_version: int = 0
@@ -139,6 +144,17 @@
         self.progress_percent = 0
         self.pace_percent = 100
         self.measured = 0
+        self.worked_until = None
+        if not self.checkpoint:
+            self.worked = timedelta()
+
+    def count_work(self, now: timedelta) -> None:
+        """Counts the work of the current run up to now; call it before its pace changes."""
+        since = self.worked_until or self.started_at
+        if since is not None:
+            share = self.pace_percent / 100 if self.pace_percent >= 0 else 1
+            self.worked += share * max(now - since, timedelta())
+            self.worked_until = now
 
     def unclaim(self) -> None:
         """Reverts a claim that was neither stored nor sent to the worker."""
