Stop the unanswered start of a gang member once its gang is done

A start whose answer is lost is given up when another member has completed the gang. If the worker never got it, it never lists the run, so the claim stayed for the rest of the term, and a job of an account was never shown as completed.

--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -122,7 +122,7 @@
         while _is_current(task, attempt, TaskState.CLAIMED) and self._term.valid:
             outcome = await self._send_start(task, worker, ticket)
             if not _is_current(task, attempt, TaskState.CLAIMED):
-                return
+                break
             if outcome is OrderOutcome.UNKNOWN:
                 missing_responses += 1
                 if missing_responses >= START_SEND_LIMIT:
@@ -135,6 +135,10 @@
                 task, worker, outcome, certain=not missing_responses
             )
             return
+        if _is_current(task, attempt, TaskState.DONE):
+            # Another member of its gang was done first. The worker may not list this
+            # run, so that only a stop makes its end certain.
+            await self._stop(task, worker, attempt)
 
     async def _send_start(
         self, task: Task, worker: WorkerView, ticket: str
