--- a/chiveworks/accounts/_fair_shares.py
+++ b/chiveworks/accounts/_fair_shares.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import accumulate
 
 from chiveworks.base import AccountName
 
@@ -54,14 +55,15 @@
         return self._shares.get(account, 0)
 
     def _divide(self, capacity: float, demands: Sequence[AccountDemand]) -> None:
-        weight = sum(demand.weight for demand in demands)
         # Accounts that want least for their weight are satisfied first.
-        for demand in sorted(demands, key=_wanted_for_weight):
+        ordered = sorted(demands, key=_wanted_for_weight)
+        # Sums from the end: differences of a sum lose weights much smaller than others.
+        weights = list(accumulate(demand.weight for demand in reversed(ordered)))
+        for demand, weight in zip(ordered, reversed(weights), strict=True):
             part = max(capacity, 0) * demand.weight / weight
             share = min(part, demand.wanted_millicores)
             self._shares[demand.account] = share
             capacity -= share
-            weight -= demand.weight
 
 
 def _wanted_for_weight(demand: AccountDemand) -> float:
