--- a/chiveworks/dispatch/_stall_detector.py
+++ b/chiveworks/dispatch/_stall_detector.py
@@ -10,7 +10,8 @@
 from chiveworks.workflow import Task, TaskState
 
 #: Time without progress after which a run counts as stalled. Reports arrive at least
-#: every 0.9 s, and a run that resumes from a checkpoint starts 0.6 s later.
+#: every 0.9 s, and a run that resumes from a checkpoint starts 0.6 s later. At a reduced
+#: pace it is longer in proportion.
 STALL_TIMEOUT: Final = timedelta(milliseconds=2400)
 #: Time during which a worker with stalled runs gets no work.
 QUARANTINE: Final = timedelta(seconds=3)
@@ -64,8 +65,8 @@
 def _is_stalled(task: Task, now: timedelta) -> bool:
     return (
         task.state is TaskState.RUNNING
-        and task.pace_percent == _FULL
+        and task.pace_percent > 0
         and task.progress_percent < _FULL
         and not task.spec.gang
-        and now - task.progressed_at > STALL_TIMEOUT
+        and now - task.progressed_at > STALL_TIMEOUT * _FULL / task.pace_percent
     )
