--- a/chiveworks/dispatch/_fleet.py
+++ b/chiveworks/dispatch/_fleet.py
@@ -224,6 +224,9 @@
         # The worker may be listed again while its clients are being closed.
         self.workers.pop(worker.worker_id)
         self.sessions.pop(worker.worker_id)
+        # Whoever made them may find the worker by its id only.
+        for task in tuple(worker.reservations.values()):
+            worker.free_reservation(task)
         await self._open_controls.pop(worker.worker_id).aclose()
 
 
