--- a/chiveworks/dispatch/_assigner.py
+++ b/chiveworks/dispatch/_assigner.py
@@ -65,6 +65,8 @@
         self._wait_log = WaitLog(clock, log, placer)
         self._near_waits = NearWaits(clock, log, placer, lateness or RunLateness())
         self._tried: set[StepRun] = set()
+        # Steps with tasks for which they come again in the round.
+        self._divided: set[StepRun] = set()
         self.unfinished = False
 
     def assign(self) -> list[Task]:
@@ -88,6 +90,9 @@
         for run in order:
             if run in self._tried:
                 continue
+            # A continued round must not begin with the same steps each time.
+            if run in self._divided and order.postpone(run):
+                continue
             if self._clock.monotonic() - now >= ROUND_BUDGET:
                 self.unfinished = True
                 return claimed
@@ -96,6 +101,7 @@
         self._wait_log.retain(self._table.ready)
         self._near_waits.end_round(self._table.ready)
         self._tried.clear()
+        self._divided.clear()
         self.unfinished = False
         return claimed
 
@@ -124,6 +130,7 @@
         if len(waiting) < allowed:
             # The step comes again for the other tasks.
             self._tried.discard(run)
+            self._divided.add(run)
         service = self._service_of(run.job)
         if _cannot_fit(
             run, unplaced[service].relevant(may_wait=self._may_wait(waiting))
--- a/chiveworks/dispatch/_share_order.py
+++ b/chiveworks/dispatch/_share_order.py
@@ -81,6 +81,13 @@
         self._deferred.append(run)
         return waiting[: -int(-room // needed)]
 
+    def postpone(self, run: StepRun) -> bool:
+        """Leaves a step to its second turn; returns whether that is still ahead."""
+        if self._last_turn or not self._shares:
+            return False
+        self._deferred.append(run)
+        return True
+
     def _yield_deferred(self) -> Iterator[StepRun]:
         deferred = self._deferred
         self._deferred = []
