Resume tasks of unknown pace only with headroom for all of it

After a change of leader, paused tasks were set to full pace as soon as the serving tasks had LOW_HEADROOM, since an unknown pace counted as full and needed no headroom.

--- a/chiveworks/dispatch/_interference_guard.py
+++ b/chiveworks/dispatch/_interference_guard.py
@@ -1,5 +1,6 @@
 """Keeps filling tasks from pushing serving tasks over their latency target."""
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import Final
 
@@ -159,14 +160,22 @@
         if all(task.pace_percent == _FULL for task in filling):
             return
         filling = sorted(filling, key=_tasks_left)
-        loads = self._filling_loads(worker, list(expected), filling)
+        # The headroom for all of an unknown pace must be there before it is set.
+        loads = [
+            replace(load, pace_percent=max(task.pace_percent, 0))
+            for task, load in zip(
+                filling,
+                self._filling_loads(worker, list(expected), filling),
+                strict=True,
+            )
+        ]
         paces = raise_paces(
             loads, [headroom - TARGET_HEADROOM for headroom in expected.values()]
         )
         for task, pace in zip(filling, paces, strict=True):
             if task.pace_percent == _FULL:
                 continue
-            if pace != task.pace_percent:
+            if pace > max(task.pace_percent, 0):
                 self._set_pace(worker, task, pace)
             self._move_if_slow(worker, task, 'another worker suits the task better')
 
