--- a/chiveworks/dispatch/_orders.py
+++ b/chiveworks/dispatch/_orders.py
@@ -110,10 +110,13 @@
 
     def set_pace(self, worker: WorkerView, task: Task, percent: int) -> None:
         """Sets the share of its full speed at which a run works, in percent."""
-        task.count_work(self._clock.monotonic())
+        now = self._clock.monotonic()
+        task.count_work(now)
+        # The time without progress goes on in proportion to the paces, so that frequent
+        # changes do not hide a stall. It begins anew after a pause.
+        share = max(task.pace_percent, 0) / percent if percent > 0 else 0
+        task.progressed_at = now - share * (now - task.progressed_at)
         worker.set_pace(task, percent)
-        # Restarts the stall timeout: a paused run makes no progress.
-        task.progressed_at = self._clock.monotonic()
         self._spawn(self._pace(worker, task, percent))
 
     async def _start(self, task: Task, worker: WorkerView, ticket: str) -> None:
