--- a/chiveworks/dispatch/_job_table.py
+++ b/chiveworks/dispatch/_job_table.py
@@ -189,9 +189,17 @@
         """Drops a job whose end is durable and which has no active tasks."""
         self.jobs.pop(job.job_id, None)
 
-    def filling_tasks_wait(self) -> bool:
-        """Tells whether filling tasks are waiting for capacity."""
-        return any(run.spec.fills for run in self.ready)
+    def filling_tasks_wait(self, permits: Callable[[Task], bool]) -> bool:
+        """Tells whether filling tasks are waiting for capacity.
+
+        Args:
+            permits: Tells whether the limit of a task's account permits it to run.
+        """
+        return any(
+            run.spec.fills
+            and (not run.job.account or any(map(permits, run.waiting()[:1])))
+            for run in self.ready
+        )
 
     def waiting(self) -> Counter[str]:
         """Returns the number of tasks waiting for a worker, by queue."""
--- a/chiveworks/dispatch/_scheduler.py
+++ b/chiveworks/dispatch/_scheduler.py
@@ -183,7 +183,7 @@
             self.orders,
             placer,
             self.model,
-            self.table.filling_tasks_wait,
+            lambda: self.table.filling_tasks_wait(gate.permits),
             self._assigner.smallest_interrupted,
         )
         self._starvation_guard = StarvationGuard(
