Limit what untrusted clients use of a platform process

Nothing limited the connections, the unfinished bodies and the time that clients take, and aiohttp buffered up to 512 KB for each body and up to 32 pipelined requests for each connection, so a few hundred clients ended a process.

The new package chiveworks/guard decides without I/O who may connect, whose request may grow and whom to drop for it. Budgets come from memory_mb and max_fds of the settings and can be set. Requests without progress are dropped first, the longest first; a quarter of the memory is for small requests only. Declared sizes above max_body_bytes get 413 before the body is read, header sections above max_header_bytes 431, and header_timeout_ms and idle_timeout_ms are applied; all four fields of `limits` are decoded. Receive buffers of the listening sockets are bounded. The readiness and metrics listeners have a budget of their own. Refusals are counted by reason, in the metrics and in one log line a second. The entry process does not use the guard yet (docs/unproved.md).

--- a/chiveworks/events/_event_metrics.py
+++ b/chiveworks/events/_event_metrics.py
@@ -1,8 +1,9 @@
 """Metrics derived from events and from calls to the metadata store."""
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
+from functools import partial
 from typing import Final
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -48,6 +49,7 @@
             shutdown_on_exit=False,
         )
         meter = self._provider.get_meter('chiveworks')
+        self._meter = meter
         bounds = tuple(map(float, _BOUNDS_MS))
         self._zone = {'zone': zone}
         # An instrument call for each event would be a notable share of the leader's work.
@@ -92,6 +94,28 @@
             'Time since the oldest job end after which a run still occupies a worker',
         )
 
+    def export_clients(
+        self,
+        turned_away: Callable[[], Mapping[str, int]],
+        in_use: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Exports how many clients were turned away and what the others use.
+
+        Args:
+            turned_away: Returns the number of clients that were turned away, by reason.
+            in_use: Returns how much of each budget is in use, by budget.
+        """
+        self._meter.create_observable_counter(
+            'chiveworks_clients_turned_away',
+            [partial(self._observe_by_label, 'reason', turned_away)],
+            description='Clients that were refused or disconnected, by reason',
+        )
+        self._meter.create_observable_gauge(
+            'chiveworks_clients_in_use',
+            [partial(self._observe_by_label, 'budget', in_use)],
+            description='Connections and bytes that clients use',
+        )
+
     def observe(self, event: str, fields: dict[str, object]) -> None:
         """Counts a logged event and records the durations in its fields."""
         outcome = fields.get('outcome') or fields.get('how') or ''
@@ -119,6 +143,17 @@
     def _queue_labels(self, fields: dict[str, object]) -> dict[str, str]:
         return {**self._zone, 'queue': str(fields.get('queue', ''))}
 
+    def _observe_by_label(
+        self,
+        label: str,
+        counts: Callable[[], Mapping[str, int]],
+        _options: CallbackOptions,
+    ) -> list[Observation]:
+        return [
+            Observation(count, {**self._zone, label: name})
+            for name, count in counts().items()
+        ]
+
     def _observe_events(self, _options: CallbackOptions) -> list[Observation]:
         return [
             Observation(count, {**self._zone, 'event': event, 'outcome': outcome})
--- a/chiveworks/platform/_boot_settings.py
+++ b/chiveworks/platform/_boot_settings.py
@@ -4,10 +4,16 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from chiveworks.base import EntryId, ZoneName
 from chiveworks.dispatch import SchedulingBounds
+from chiveworks.guard import ClientBudget
+
+#: Memory and descriptors of the smallest machines, for settings that name none.
+_SMALLEST_MEMORY_MB: Final = 200
+_SMALLEST_MAX_FDS: Final = 4100
+_MEGABYTE: Final = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +31,7 @@
         cores: Processor share, in cores.
         grace: Time from SIGTERM until the process is killed.
         bounds: Bounds of the scheduler.
+        clients: Memory and connections that clients may use.
     """
 
     process: EntryId
@@ -37,6 +44,7 @@
     cores: float
     grace: timedelta
     bounds: SchedulingBounds
+    clients: ClientBudget
 
 
 def read_boot_settings(path: Path) -> BootSettings:
@@ -65,6 +73,20 @@
             _milliseconds(bounds, 'early_ms'),
             timedelta(seconds=bounds.get('status_s', 0)),
         ),
+        _read_client_budget(limits),
+    )
+
+
+def _read_client_budget(limits: dict[str, Any]) -> ClientBudget:
+    derived = ClientBudget.derive(
+        limits.get('memory_mb', _SMALLEST_MEMORY_MB),
+        limits.get('max_fds', _SMALLEST_MAX_FDS),
+    )
+    body_bytes = derived.body_bytes
+    if 'client_memory_mb' in limits:
+        body_bytes = int(limits['client_memory_mb'] * _MEGABYTE)
+    return ClientBudget(
+        limits.get('client_connections', derived.connections), body_bytes
     )
 
 
--- a/chiveworks/platform/_client_api.py
+++ b/chiveworks/platform/_client_api.py
@@ -9,6 +9,7 @@
 
 from chiveworks.base import Clock, JobId
 from chiveworks.events import EventLog
+from chiveworks.guard import BodyRefusal, read_body, was_turned_away
 from chiveworks.intake import (
     IntakeVerdict,
     JobIntake,
@@ -60,7 +61,8 @@
         response = await self._dispatch(request)
         if response.status in _RETRIABLE_STATUSES:
             response.headers.setdefault('Retry-After', str(self._retry_after_s()))
-        if response.status >= _MIN_ERROR_STATUS:
+        # The guard of the server logs what it turns away, in one line per second.
+        if response.status >= _MIN_ERROR_STATUS and not was_turned_away(request):
             self._log_error_response(request, response)
         if self._closing():
             response.force_close()
@@ -103,8 +105,11 @@
     async def _submit(
         self, request: web.BaseRequest, route: QueueRoute, job_id: JobId
     ) -> web.Response:
+        body = await read_body(request)
+        if isinstance(body, BodyRefusal):
+            return _error_response(body.status, body.message, closes=True)
         try:
-            spec = decode_job(await request.read())
+            spec = decode_job(body)
         except ValueError as error:
             return _error_response(400, str(error))
         submission = Submission(
@@ -143,8 +148,11 @@
     )
 
 
-def _error_response(status: int, reason: str) -> web.Response:
-    return web.json_response({'error': reason}, status=status)
+def _error_response(status: int, reason: str, *, closes: bool = False) -> web.Response:
+    response = web.json_response({'error': reason}, status=status)
+    if closes:
+        response.force_close()
+    return response
 
 
 def _final_refusal(reason: str) -> web.Response:
--- a/chiveworks/platform/_decoding.py
+++ b/chiveworks/platform/_decoding.py
@@ -74,6 +74,8 @@
         IntakeLimits(
             limits.whole('max_body_bytes', _DEFAULTS.body_bytes),
             limits.whole('max_header_bytes', _DEFAULTS.header_bytes),
+            limits.duration('header_timeout_ms', _DEFAULTS.header_timeout),
+            limits.duration('idle_timeout_ms', _DEFAULTS.idle_timeout),
         ),
     )
 
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -13,9 +13,11 @@
 from chiveworks.base import SystemClock, ZoneName, cancel_all
 from chiveworks.dispatch import Leader, Scheduler, WorkerInfo
 from chiveworks.events import EventLog, EventMetrics
+from chiveworks.guard import ClientBudget, GuardedServer, TurnAwayCounts, listen
 from chiveworks.intake import (
     CapacityCheck,
     CapacityFollower,
+    IntakeLimits,
     JobIntake,
     QueueCatalogue,
     RetryAdvice,
@@ -43,6 +45,10 @@
 WORKERS_WATCH_PAUSE: Final = timedelta(milliseconds=200)
 #: Pause before a task of the process that an error ended is run again.
 TASK_RESTART_PAUSE: Final = timedelta(milliseconds=250)
+#: Interval at which clients that were turned away are logged, in one line.
+TURN_AWAY_REPORT_INTERVAL: Final = timedelta(seconds=1)
+#: Limits before the first configuration is read.
+DEFAULT_LIMITS: Final = IntakeLimits()
 #: Time for which requests are served after SIGTERM. The platform takes a machine out
 #: of rotation after two failed readiness checks, which it makes once a second.
 DRAIN_PERIOD: Final = timedelta(milliseconds=2600)
@@ -69,6 +75,9 @@
             self._runs_of_ended_jobs,
         )
         self._log.subscribe(self._metrics.observe)
+        self._turned_away = TurnAwayCounts()
+        self._front: GuardedServer | None = None
+        self._metrics.export_clients(self._turned_away.by_name, self._in_use)
         self._store = HttpMetadataStore(
             settings.store, self._clock, self._observe_store
         )
@@ -151,15 +160,33 @@
             self._log,
             lambda: retry_advice.retry_after_s(self._store.silence),
         )
-        for handler, address in (
-            (client_api.handle, self._settings.front),
-            (self._handle_ready, self._settings.ready),
-            (self._handle_metrics, (self._settings.front[0], METRICS_PORT)),
+        operators = ClientBudget.for_operators()
+        front = self._settings.clients
+        for handler, address, budget in (
+            (client_api.handle, self._settings.front, front),
+            (self._handle_ready, self._settings.ready, operators),
+            (self._handle_metrics, (self._settings.front[0], METRICS_PORT), operators),
         ):
-            runner = web.ServerRunner(web.Server(handler, access_log=None))
-            await runner.setup()
-            stack.push_async_callback(runner.cleanup)
-            await web.TCPSite(runner, *address, backlog=512).start()
+            server = GuardedServer(
+                handler, budget, self._limits, self._clock, self._turned_away
+            )
+            await listen(server, address, budget.backlog, stack)
+            self._front = self._front or server
+        self._log.write(
+            'listening', connections=front.connections, body_bytes=front.body_bytes
+        )
+        reporting = asyncio.create_task(self._keep_running(self._report_turned_away))
+        stack.push_async_callback(cancel_all, [reporting])
+
+    async def _report_turned_away(self) -> None:
+        while True:
+            await self._clock.sleep(TURN_AWAY_REPORT_INTERVAL)
+            counts = self._turned_away.take_report(self._clock.monotonic())
+            if counts:
+                self._log.write('clients_turned_away', counts=counts)
+
+    def _limits(self) -> IntakeLimits:
+        return DEFAULT_LIMITS if self._catalogue is None else self._catalogue.limits
 
     @contextlib.asynccontextmanager
     async def _open_store(self) -> AsyncIterator[HttpMetadataStore]:
@@ -202,6 +229,12 @@
     def _observe_store(self, path: str, duration: timedelta, success: bool) -> None:
         self._metrics.record_store_call(path, duration, succeeded=success)
 
+    def _in_use(self) -> dict[str, int]:
+        if self._front is None:
+            return {}
+        guard = self._front.guard
+        return {'connections': guard.connections, 'bytes': guard.held_bytes}
+
     def _queue_lengths(self) -> dict[str, int]:
         scheduler = self._leader.scheduler
         return {} if scheduler is None else scheduler.table.waiting()
--- a/chiveworks/platform/tests/test_decoding.py
+++ b/chiveworks/platform/tests/test_decoding.py
@@ -7,6 +7,8 @@
 import pytest
 
 from chiveworks.base import Resources
+from chiveworks.guard import ClientBudget
+from chiveworks.intake import IntakeLimits
 from chiveworks.platform import read_boot_settings
 from chiveworks.platform._decoding import (
     decode_job,
@@ -121,3 +123,35 @@
     assert settings.front == ('10.0.0.1', 1) and settings.cores == 1.0
     assert settings.bounds.lease_limit == timedelta(seconds=6)
     assert not settings.cloud
+    assert settings.clients == ClientBudget.derive(200, 4100)
+
+
+def test_the_budget_of_clients_is_read(tmp_path: Path):
+    """Guards against a budget that does not follow the machine or its own settings."""
+    path = tmp_path / 'local.toml'
+    head = (
+        'node = "n"\nzone = "z"\n'
+        '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
+        '[platform]\naddress = "10.0.0.9:3"\n[bounds]\ngrace_s = 6\n'
+        '[limits]\ncpu_share = 0.5\ncores = 2\nmemory_mb = 96\nmax_fds = 500\n'
+    )
+    path.write_text(head)
+    assert read_boot_settings(path).clients == ClientBudget.derive(96, 500)
+    path.write_text(head + 'client_connections = 7\nclient_memory_mb = 1.5\n')
+    assert read_boot_settings(path).clients == ClientBudget(7, 1_500_000)
+
+
+def test_all_limits_of_requests_are_decoded():
+    """Guards against limits of the configuration that are not applied."""
+    limits = {
+        'max_body_bytes': 1000,
+        'max_header_bytes': 2000,
+        'header_timeout_ms': 500,
+        'idle_timeout_ms': 700,
+    }
+    content = json.dumps({**CONFIG, 'limits': limits}).encode()
+    assert decode_operator_entry('config', content).limits == IntakeLimits(
+        1000, 2000, timedelta(milliseconds=500), timedelta(milliseconds=700)
+    )
+    content = json.dumps(CONFIG).encode()
+    assert decode_operator_entry('config', content).limits == IntakeLimits()
