--- a/chiveworks/platform/_advice_client.py
+++ b/chiveworks/platform/_advice_client.py
@@ -19,16 +19,19 @@
     """Client of the placement advice service.
 
     Args:
-        address: Host and port of the service.
+        address: Host and port of the service; empty if there is none.
     """
 
     def __init__(self, address: str) -> None:
-        self._channel = Channel(address, CALL_TIMEOUT)
+        self._channel = Channel(address, CALL_TIMEOUT) if address else None
 
     async def advise(
         self, job_id: JobId, occurrence: int, step: int, workers: Sequence[WorkerId]
     ) -> Result[Advice, Failure]:
         """Requests which of the workers may run a step."""
+        if self._channel is None:
+            message = 'the settings name no service'
+            return Err(Failure.not_run(Step.RESOLVE, 'placement advice', message))
         body = {'step': f'{job_id}.{occurrence}.{step}', 'workers': list(workers)}
         result = await self._channel.call(
             'POST', '/v1/advise', Step.RESOLVE, body=body, writes=False
@@ -44,7 +47,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._channel.close()
+        if self._channel is not None:
+            await self._channel.close()
 
 
 def _decode_advice(fields: Fields) -> Advice:
--- a/chiveworks/platform/_boot_settings.py
+++ b/chiveworks/platform/_boot_settings.py
@@ -8,6 +8,12 @@
 
 from chiveworks.base import EntryId, ZoneName
 from chiveworks.dispatch import SchedulingBounds
+from chiveworks.guard import ClientBudget
+
+#: Memory and descriptors of the smallest machines, for settings that name none.
+_SMALLEST_MEMORY_MB: Final = 200
+_SMALLEST_MAX_FDS: Final = 4100
+_MEGABYTE: Final = 1_000_000
 
 #: Value of the platform's deployments.
 _DEFAULT_REVOCATION_LIMIT: Final = timedelta(seconds=5)
@@ -28,6 +34,7 @@
         cores: Processor share, in cores.
         grace: Time from SIGTERM until the process is killed.
         bounds: Bounds of the scheduler.
+        clients: Memory and connections that clients may use.
         revocation_limit: Time after which no call with a revoked key may be served; None
             if a process may serve calls however old its configuration is.
     """
@@ -42,6 +49,7 @@
     cores: float
     grace: timedelta
     bounds: SchedulingBounds
+    clients: ClientBudget
     revocation_limit: timedelta | None = None
 
 
@@ -73,10 +81,24 @@
             float(bounds.get('quota_overrun', 0)),
             float(bounds.get('remote_factor', 1)),
         ),
+        _read_client_budget(limits),
         _read_revocation_limit(bounds),
     )
 
 
+def _read_client_budget(limits: dict[str, Any]) -> ClientBudget:
+    derived = ClientBudget.derive(
+        limits.get('memory_mb', _SMALLEST_MEMORY_MB),
+        limits.get('max_fds', _SMALLEST_MAX_FDS),
+    )
+    body_bytes = derived.body_bytes
+    if 'client_memory_mb' in limits:
+        body_bytes = int(limits['client_memory_mb'] * _MEGABYTE)
+    return ClientBudget(
+        limits.get('client_connections', derived.connections), body_bytes
+    )
+
+
 def _read_revocation_limit(bounds: dict[str, Any]) -> timedelta | None:
     if not bounds.get('revoke_fail_closed', False):
         return None
--- a/chiveworks/platform/_client_api.py
+++ b/chiveworks/platform/_client_api.py
@@ -9,6 +9,7 @@
 from chiveworks.accounts import KeyCheck, KeyRefusal
 from chiveworks.base import AccountName, Clock, JobId
 from chiveworks.events import EventLog
+from chiveworks.guard import BodyRefusal, read_body, was_turned_away
 from chiveworks.intake import (
     Caller,
     IntakeVerdict,
@@ -75,7 +76,8 @@
         response = await self._dispatch(request)
         if response.status in _RETRIABLE_STATUSES:
             response.headers.setdefault('Retry-After', str(self._retry_after_s()))
-        if response.status >= _MIN_ERROR_STATUS:
+        # The guard of the server logs what it turns away, in one line per second.
+        if response.status >= _MIN_ERROR_STATUS and not was_turned_away(request):
             self._log_error_response(request, response)
         if self._closing():
             response.force_close()
@@ -147,8 +149,11 @@
     async def _submit(
         self, request: web.BaseRequest, route: QueueRoute, job_id: JobId
     ) -> web.Response:
+        body = await read_body(request)
+        if isinstance(body, BodyRefusal):
+            return error_response(body.status, body.message, closes=True)
         try:
-            spec = decode_job(await request.read())
+            spec = decode_job(body)
         except ValueError as error:
             return error_response(400, str(error))
         # The key may have been revoked while the client sent the body.
--- a/chiveworks/platform/_client_responses.py
+++ b/chiveworks/platform/_client_responses.py
@@ -20,9 +20,12 @@
     )
 
 
-def error_response(status: int, reason: str) -> web.Response:
-    """Answers a call that was not served."""
-    return web.json_response({'error': reason}, status=status)
+def error_response(status: int, reason: str, *, closes: bool = False) -> web.Response:
+    """Answers a call that was not served, and may close its connection."""
+    response = web.json_response({'error': reason}, status=status)
+    if closes:
+        response.force_close()
+    return response
 
 
 def final_refusal(reason: str) -> web.Response:
--- a/chiveworks/platform/_decoding.py
+++ b/chiveworks/platform/_decoding.py
@@ -11,7 +11,14 @@
 from chiveworks.intake import IntakeLimits, QueueCatalogue, QueueRoute
 from chiveworks.platform._address import check_address
 from chiveworks.platform._fields import Fields, check_number, check_text, parse_json
-from chiveworks.workflow import MAX_STRETCH, JobSpec, QueuePolicy, Recurrence, StepSpec
+from chiveworks.workflow import (
+    MAX_STRETCH,
+    STEP_LIMIT,
+    JobSpec,
+    QueuePolicy,
+    Recurrence,
+    StepSpec,
+)
 
 #: Names of entries under the operators' prefix in the metadata store.
 CONFIG_NAME: Final = 'config'
@@ -75,6 +82,8 @@
         IntakeLimits(
             limits.whole('max_body_bytes', _DEFAULTS.body_bytes),
             limits.whole('max_header_bytes', _DEFAULTS.header_bytes),
+            limits.duration('header_timeout_ms', _DEFAULTS.header_timeout),
+            limits.duration('idle_timeout_ms', _DEFAULTS.idle_timeout),
         ),
         _decode_accounts(fields),
     )
@@ -144,9 +153,13 @@
 
 
 def _decode_job(fields: Fields) -> JobSpec:
+    rows = fields.rows('steps')
+    if len(rows) > STEP_LIMIT:
+        # A body of empty steps would become objects of a hundred times its size.
+        raise ValueError(f'the job has more than {STEP_LIMIT} steps')
     spec = JobSpec(
         fields.text('spec', ''),
-        tuple(_decode_step(Fields(step)) for step in fields.rows('steps')),
+        tuple(_decode_step(Fields(step)) for step in rows),
         _decode_recurrence(fields),
     )
     validation_error = spec.validation_error()
--- a/chiveworks/platform/tests/keyed_process.py
+++ b/chiveworks/platform/tests/keyed_process.py
@@ -11,6 +11,7 @@
 
 from chiveworks.base import EntryId, Failure, ManualClock, Step, ZoneName
 from chiveworks.dispatch.tests.deployment import BOUNDS
+from chiveworks.guard import ClientBudget
 from chiveworks.metastore import JOB_PREFIX
 from chiveworks.platform import _process
 from chiveworks.platform._boot_settings import BootSettings
@@ -151,6 +152,7 @@
             1.0,
             timedelta(seconds=6),
             BOUNDS,
+            ClientBudget.derive(200, 4100),
             limit,
         )
         self.process = _process.PlatformProcess(settings, Path('unused'))
--- a/chiveworks/platform/tests/test_decoding.py
+++ b/chiveworks/platform/tests/test_decoding.py
@@ -1,18 +1,22 @@
 """Decoding of valid and malformed data from operators, workers and clients."""
 
 import json
+import tracemalloc
 from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
 from chiveworks.base import Resources
+from chiveworks.guard import ClientBudget
+from chiveworks.intake import IntakeLimits
 from chiveworks.platform import read_boot_settings
 from chiveworks.platform._decoding import (
     decode_job,
     decode_operator_entry,
     decode_worker,
 )
+from chiveworks.platform._fields import parse_json
 from chiveworks.platform._worker_reports import decode_ref, encode_ref
 
 WORKER = {
@@ -101,6 +105,20 @@
     assert not step.gang and not step.serves and spec.recurrence is None
 
 
+def test_steps_beyond_the_limit_are_not_built():
+    """Guards against a legal body of empty steps that costs 26 MB of objects."""
+    body = b'{"steps":[' + b','.join([b'{}'] * 87_000) + b']}'
+    tracemalloc.start()
+    parse_json(body)
+    parsed_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.reset_peak()
+    with pytest.raises(ValueError, match='more than 256 steps'):
+        decode_job(body)
+    decoded_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert decoded_bytes < 1.1 * parsed_bytes
+
+
 def test_task_names_are_decoded_and_encoded_without_change():
     """Guards against reports that are attributed to another task."""
     name = '5c0e7a21d94b36f8.0.1.17'
@@ -122,6 +140,7 @@
     assert settings.bounds.lease_limit == timedelta(seconds=6)
     assert settings.bounds.account_overrun == 0.1
     assert not settings.cloud
+    assert settings.clients == ClientBudget.derive(200, 4100)
 
 
 @pytest.mark.parametrize(
@@ -162,3 +181,34 @@
     assert read_boot_settings(path).bounds.remote_factor == 1
     path.write_text(f'{text}remote_factor = 1.5\n')
     assert read_boot_settings(path).bounds.remote_factor == 1.5
+
+
+def test_the_budget_of_clients_is_read(tmp_path: Path):
+    """Guards against a budget that does not follow the machine or its own settings."""
+    path = tmp_path / 'local.toml'
+    head = (
+        'node = "n"\nzone = "z"\n'
+        '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
+        '[platform]\naddress = "10.0.0.9:3"\n[bounds]\ngrace_s = 6\n'
+        '[limits]\ncpu_share = 0.5\ncores = 2\nmemory_mb = 96\nmax_fds = 500\n'
+    )
+    path.write_text(head)
+    assert read_boot_settings(path).clients == ClientBudget.derive(96, 500)
+    path.write_text(head + 'client_connections = 7\nclient_memory_mb = 1.5\n')
+    assert read_boot_settings(path).clients == ClientBudget(7, 1_500_000)
+
+
+def test_all_limits_of_requests_are_decoded():
+    """Guards against limits of the configuration that are not applied."""
+    limits = {
+        'max_body_bytes': 1000,
+        'max_header_bytes': 2000,
+        'header_timeout_ms': 500,
+        'idle_timeout_ms': 700,
+    }
+    content = json.dumps({**CONFIG, 'limits': limits}).encode()
+    assert decode_operator_entry('config', content).limits == IntakeLimits(
+        1000, 2000, timedelta(milliseconds=500), timedelta(milliseconds=700)
+    )
+    content = json.dumps(CONFIG).encode()
+    assert decode_operator_entry('config', content).limits == IntakeLimits()
--- a/chiveworks/workflow/__init__.py
+++ b/chiveworks/workflow/__init__.py
@@ -13,7 +13,7 @@
 )
 from chiveworks.workflow._job import Job, JobState
 from chiveworks.workflow._job_owner import JobOwner
-from chiveworks.workflow._job_spec import JobSpec, Submission
+from chiveworks.workflow._job_spec import STEP_LIMIT, JobSpec, Submission
 from chiveworks.workflow._lapsed_run import LapsedRun
 from chiveworks.workflow._queue_policy import MAX_STRETCH, QueuePolicy
 from chiveworks.workflow._recurrence import Recurrence
@@ -25,6 +25,7 @@
 
 __all__ = (
     'MAX_STRETCH',
+    'STEP_LIMIT',
     'UNKNOWN_PACE',
     'Job',
     'JobOwner',
