Report requests that cannot be read once a second, without their content

The guard answers them itself, so the filter of the library's log no longer saw them and the event request_unreadable was gone; test_no_key_gets_into_the_log_or_the_metrics failed.

--- a/chiveworks/guard/_guarded_connection.py
+++ b/chiveworks/guard/_guarded_connection.py
@@ -206,7 +206,7 @@
             status, reason = 431, TurnAwayReason.HEADER_TOO_LARGE
         self._note(reason)
         # The message of the error contains what the client sent.
-        self.logger.warning('a request cannot be read', exc_info=exc)
+        self._guarded.report_unreadable(type(exc).__name__)
         response = web.Response(status=status)
         response.force_close()
         return response
--- a/chiveworks/guard/_guarded_server.py
+++ b/chiveworks/guard/_guarded_server.py
@@ -23,6 +23,10 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def _report_nothing(_kind: str) -> None:
+    """Leaves requests that cannot be read to the counts."""
+
+
 class GuardedServer(web.Server):
     """Creates guarded connections and carries out what the guard decides.
 
@@ -33,8 +37,9 @@
         clock: Source of time.
         counts: Counts the clients that are turned away.
         decompresses: Whether compressed bodies are decompressed.
-        logger: Logger for errors of connections; it decides how often requests that
-            cannot be read are logged, and whether with their content.
+        logger: Logger for errors of connections.
+        report_unreadable: Called with the kind of the error of each request that cannot
+            be read.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         *,
         decompresses: bool = True,
         logger: logging.Logger = _LOG,
+        report_unreadable: Callable[[str], None] = _report_nothing,
     ) -> None:
         super().__init__(self._handle_within_limits)
         self._handler = handler
@@ -56,6 +62,7 @@
         self.counts = counts
         self.decompresses = decompresses
         self.logger = logger
+        self.report_unreadable = report_unreadable
         self.guard: ClientGuard[GuardedConnection] = ClientGuard(
             budget, limits, clock.monotonic()
         )
--- a/chiveworks/platform/_process.py
+++ b/chiveworks/platform/_process.py
@@ -196,6 +196,7 @@
                 self._clock,
                 self._turned_away,
                 logger=server_logger,
+                report_unreadable=self._report_unreadable,
             )
             await listen(server, address, budget.backlog, stack)
             self._front = self._front or server
@@ -205,6 +206,9 @@
         reporting = asyncio.create_task(self._keep_running(self._report_turned_away))
         stack.push_async_callback(cancel_all, [reporting])
 
+    def _report_unreadable(self, kind: str) -> None:
+        self._log.write_sparse('request_unreadable', kind, error=kind)
+
     async def _report_turned_away(self) -> None:
         while True:
             await self._clock.sleep(TURN_AWAY_REPORT_INTERVAL)
