Forecast anew for a step that comes twice in a round

A step whose account is above its share is tried once for a part of its tasks and again at the end of the round. The second time it used the slots that the first had booked, so waiting tasks were booked twice. Found by the review; shown by reading only.

--- a/chiveworks/dispatch/_near_waits.py
+++ b/chiveworks/dispatch/_near_waits.py
@@ -95,7 +95,9 @@
         if run in self._slots:
             # Its tasks that wait have slots. If it also found no room elsewhere, some
             # are not counted, and the following steps of this size find none either.
-            self._current.room.book(*self._slots[run])
+            # A step that comes again in the round, for the tasks beyond its account's
+            # share, gets a new forecast.
+            self._current.room.book(*self._slots.pop(run))
         elif rack and self._current.prefers_near(run.spec):
             self._current.room.add_ahead(run, service, rack)
         return run in self._current.deferred
