Bound trailers, abandoned requests and late bodies of guarded connections

A request stays charged until its handler ends, also when its client has left. Bytes of a body section without content, such as trailers, are limited like a header section. A refusal at the end of a chunk ends the wait for the body. Late connections are still closed during a planned stop, and a body that is awaited after the stop has begun is refused.

--- a/chiveworks/guard/_body_refusal.py
+++ b/chiveworks/guard/_body_refusal.py
@@ -11,6 +11,7 @@
     {
         TurnAwayReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         TurnAwayReason.BODY_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
+        TurnAwayReason.HEADER_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         TurnAwayReason.MALFORMED: HTTPStatus.BAD_REQUEST,
     }
 )
@@ -18,6 +19,7 @@
     {
         TurnAwayReason.BODY_TOO_LARGE: 'not run: the body is too large',
         TurnAwayReason.BODY_TIMEOUT: 'not run: the body was not received in time',
+        TurnAwayReason.HEADER_TOO_LARGE: 'not run: the trailer fields are too large',
         TurnAwayReason.MALFORMED: 'not run: the body cannot be decoded',
         TurnAwayReason.SMALL_CHUNKS: 'not run: too many bodies come in small chunks',
     }
--- a/chiveworks/guard/_guarded_connection.py
+++ b/chiveworks/guard/_guarded_connection.py
@@ -1,6 +1,7 @@
 """A client's connection that is kept within the limits of a guard."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
 from aiohttp import HttpVersion11, web
@@ -60,10 +61,12 @@
 
     __slots__ = (
         '_body',
+        '_body_bytes',
         '_closing',
         '_guarded',
         '_header_bytes',
         '_received_bytes',
+        '_trailer_bytes',
         'turned_away',
     )
 
@@ -90,6 +93,8 @@
         self._closing: asyncio.Transport | None = None
         self._header_bytes = 0
         self._received_bytes = 0
+        self._body_bytes = 0
+        self._trailer_bytes = 0
         #: Whether the guard has refused a request on this connection.
         self.turned_away = False
 
@@ -104,8 +109,9 @@
             self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Removes the connection."""
-        self._guarded.guard.close(self)
+        """Removes the connection, but a request that is served stays charged."""
+        if not self._request_in_progress:
+            self._guarded.guard.close(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -115,6 +121,8 @@
         self._received_bytes += len(data)
         super().data_received(data)
         phase = self._guarded.guard.phase(self)
+        if self._body is not None:
+            self._limit_trailers(self._body.content.total_bytes, len(data))
         if phase is ConnectionPhase.IDLE or phase is ConnectionPhase.HEADER:
             self._header_bytes += len(data)
             if self._messages:
@@ -151,7 +159,11 @@
         content = request.content
         if content.is_eof() and request.content_length is not None:
             return self._take(content.read_nowait(), limit)
+        if self._close and not content.is_eof():
+            # The stop has begun, and nothing more is received.
+            return self.refuse(TurnAwayReason.STOPPING)
         self._body = request
+        self._body_bytes = self._trailer_bytes = 0
         self._enter(ConnectionPhase.BODY)
         if _awaits_permission(request) and not content.is_eof():
             await request.writer.write(_CONTINUE)
@@ -188,6 +200,19 @@
             self._enter_unless_closing(ConnectionPhase.IDLE)
         return finished
 
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> tuple[web.StreamResponse, bool]:
+        """Serves a request, and removes a connection whose client has left."""
+        try:
+            return await super()._handle_request(request, start_time, request_handler)
+        finally:
+            if self._manager is None:
+                self._guarded.guard.close(self)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -225,6 +250,8 @@
         self._note(reason)
         if self._body is not None:
             self._body.content.set_exception(_BodyDroppedError(reason))
+            # The end of a chunk may have woken the reader, which would wait again.
+            self._body.content.feed_eof()
         if self._guarded.guard.phase(self) is None and self.transport is not None:
             self.transport.abort()
 
@@ -257,10 +284,26 @@
                 if not self._guarded.allow_overhead(overhead - charged):
                     return TurnAwayReason.SMALL_CHUNKS
                 charged = overhead
+        error = content.exception()
+        if error is not None:
+            raise error
         if size and not self._guarded.hold(self, size * _DECODED_FACTOR):
             return TurnAwayReason.MEMORY
         return parts[0] if len(parts) == 1 else b''.join(parts)
 
+    def _limit_trailers(self, body_bytes: int, received: int) -> None:
+        """Refuses a body behind which more than a header section arrives.
+
+        The parser keeps trailer fields until the end of the request.
+        """
+        if body_bytes > self._body_bytes:
+            self._body_bytes = body_bytes
+            self._trailer_bytes = 0
+            return
+        self._trailer_bytes += received
+        if self._trailer_bytes > self._guarded.limits().header_bytes:
+            self.drop(TurnAwayReason.HEADER_TOO_LARGE)
+
     def _refuse_header(self) -> None:
         self._note(TurnAwayReason.HEADER_TOO_LARGE)
         if self.transport is not None:
--- a/chiveworks/guard/_listener.py
+++ b/chiveworks/guard/_listener.py
@@ -27,9 +27,10 @@
     """
     runner = web.ServerRunner(server)
     await runner.setup()
-    stack.push_async_callback(runner.cleanup)
     sweep = asyncio.create_task(server.close_late_connections())
+    # Ends after the runner's stop, which may wait for clients that do not read.
     stack.push_async_callback(cancel_all, [sweep])
+    stack.push_async_callback(runner.cleanup)
     listener = await _bind(address)
     await web.SockSite(runner, listener, backlog=backlog).start()
     return int(listener.getsockname()[1])
