--- a/chiveworks/guard/_guarded_connection.py
+++ b/chiveworks/guard/_guarded_connection.py
@@ -194,6 +194,9 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Writes a response, and closes a connection with an unread body."""
+        if self.writing_paused:
+            # The client has not read the interim response.
+            self._enter_unless_closing(ConnectionPhase.RESPONSE)
         finished = await super().finish_response(request, resp, start_time)
         self._guarded.guard.release(self)
         if self.turned_away or not request.content.is_eof():
