--- a/chiveworks/guard/_guarded_connection.py
+++ b/chiveworks/guard/_guarded_connection.py
@@ -297,7 +297,7 @@
 
     def _limit_fields(self, received: int, *, is_same: bool) -> None:
         """Bounds the fields that the parser keeps besides the first header section."""
-        if self._body is not None:
+        if self._body is not None and not self._body.content.is_eof():
             self._limit_trailers(self._body.content.total_bytes, received)
         else:
             self._limit_next_header(received, is_same=is_same)
