--- a/chiveworks/guard/_guarded_server.py
+++ b/chiveworks/guard/_guarded_server.py
@@ -75,8 +75,15 @@
         """Closes connections whose time is over, until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
-            for connection, reason in self.guard.expire(self.now()):
-                connection.drop(reason)
+            try:
+                self._drop_expired()
+            except Exception:
+                # The next sweep goes on; without it no timeout would apply any more.
+                self.logger.exception('late connections were not closed')
+
+    def _drop_expired(self) -> None:
+        for connection, reason in self.guard.expire(self.now()):
+            connection.drop(reason)
 
     def pre_shutdown(self) -> None:
         """Refuses requests whose bodies are unfinished, which would delay the stop."""
